Set up the reactor, the shared ids and the peer messages

Cause: an empty repository. Change: eight Maven modules at the verified versions, formatter and linter, the ids, configuration entities, store commands and peer messages that every part meets at.

--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.mimosatrail.bench
+
+internal object Placeholder
--- /dev/null
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.mimosatrail.cli
+
+internal object Placeholder
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/config/Configuration.kt
@@ -0,0 +1,36 @@
+package io.mimosatrail.core.config
+
+import io.mimosatrail.core.id.ConfigRevision
+import io.mimosatrail.core.id.ModelId
+import io.mimosatrail.core.id.RuleId
+import io.mimosatrail.core.id.ServiceId
+import io.mimosatrail.core.id.WorkspaceId
+
+/** Everything in force at [revision]; immutable. */
+data class Configuration(
+    val revision: ConfigRevision = ConfigRevision(0),
+    val workspaces: Map<WorkspaceId, Workspace> = emptyMap(),
+    val services: Map<ServiceId, Service> = emptyMap(),
+    val rules: Map<RuleId, RoutingRule> = emptyMap(),
+) {
+    private val workspaceByKeyHash: Map<String, Workspace> by lazy {
+        workspaces.values.flatMap { workspace -> workspace.keyHashes.map { it to workspace } }.toMap()
+    }
+
+    private val rulesByModel: Map<ModelId?, List<RoutingRule>> by lazy {
+        rules.values.groupBy { it.model }
+    }
+
+    /** The workspace that owns the key with this lower-case hex SHA-256 digest. */
+    fun workspaceOf(keyHash: String): Workspace? = workspaceByKeyHash[keyHash]
+
+    /** The rule for a model request: the workspace's own before the general one. */
+    fun ruleFor(workspace: WorkspaceId, model: ModelId): RoutingRule? = rulesByModel[model].orEmpty().choose(workspace)
+
+    /** The rule for a call of a plain service: the workspace's own before the general one. */
+    fun ruleFor(workspace: WorkspaceId, service: ServiceId): RoutingRule? =
+        rulesByModel[null].orEmpty().filter { it.service == service }.choose(workspace)
+
+    private fun List<RoutingRule>.choose(workspace: WorkspaceId): RoutingRule? =
+        firstOrNull { it.workspace == workspace } ?: firstOrNull { it.workspace == null }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/id/AcceleratorKind.kt
@@ -0,0 +1,10 @@
+package io.mimosatrail.core.id
+
+import kotlinx.serialization.Serializable
+
+/** Kind of accelerator an upstream runs on. */
+@Serializable
+@JvmInline
+value class AcceleratorKind(val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/id/Epoch.kt
@@ -0,0 +1,15 @@
+package io.mimosatrail.core.id
+
+import kotlinx.serialization.Serializable
+
+/** Ownership period of a journal; raised at each takeover. */
+@Serializable
+@JvmInline
+value class Epoch(val value: Long) : Comparable<Epoch> {
+    override fun compareTo(other: Epoch): Int = value.compareTo(other.value)
+
+    /** The value that follows this one. */
+    fun next(): Epoch = Epoch(value + 1)
+
+    override fun toString(): String = value.toString()
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/id/Generation.kt
@@ -0,0 +1,15 @@
+package io.mimosatrail.core.id
+
+import kotlinx.serialization.Serializable
+
+/** Attempt number of a request; raised each time its chain changes. */
+@Serializable
+@JvmInline
+value class Generation(val value: Int) : Comparable<Generation> {
+    override fun compareTo(other: Generation): Int = value.compareTo(other.value)
+
+    /** The value that follows this one. */
+    fun next(): Generation = Generation(value + 1)
+
+    override fun toString(): String = value.toString()
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/id/ServiceId.kt
@@ -0,0 +1,10 @@
+package io.mimosatrail.core.id
+
+import kotlinx.serialization.Serializable
+
+/** Names a service: a model pool or a plain service. */
+@Serializable
+@JvmInline
+value class ServiceId(val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/membership/InstanceState.kt
@@ -0,0 +1,14 @@
+package io.mimosatrail.core.membership
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** State of an instance in the platform's list, which lags. */
+@Serializable
+enum class InstanceState {
+    @SerialName("live")
+    LIVE,
+
+    @SerialName("leaving")
+    LEAVING,
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/membership/UpstreamDescription.kt
@@ -0,0 +1,35 @@
+package io.mimosatrail.core.membership
+
+import io.mimosatrail.core.id.AcceleratorKind
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.ModelId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.id.ServiceId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.pipeline.LayerRange
+import kotlinx.serialization.Serializable
+
+/** What a sidecar says of its upstream. [engine] is null for a plain service. */
+@Serializable
+data class UpstreamDescription(
+    val instance: InstanceId,
+    val place: PlaceId,
+    val address: PeerAddress,
+    val service: ServiceId,
+    val load: UpstreamLoad,
+    val engine: EngineDescription? = null,
+)
+
+/** What a model engine holds. [modelLayers] counts the layers of the whole model. */
+@Serializable
+data class EngineDescription(
+    val model: ModelId,
+    val version: String,
+    val layers: LayerRange,
+    val modelLayers: Int,
+    val kind: AcceleratorKind,
+    val kvBytesPerToken: Int,
+    val kvCapacityBytes: Long,
+    val adapters: List<String> = emptyList(),
+    val role: String = "serve",
+)
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/LayerRange.kt
@@ -0,0 +1,26 @@
+package io.mimosatrail.core.pipeline
+
+import kotlinx.serialization.Serializable
+
+/** Model layers [first] until [end], end exclusive. */
+@Serializable
+data class LayerRange(val first: Int, val end: Int) {
+    init {
+        require(first in 0 until end) { "layer range $first..<$end is empty or negative" }
+    }
+
+    /** Number of layers. */
+    val size: Int get() = end - first
+
+    override fun toString(): String = "$first..<$end"
+}
+
+/** True where the ranges run layers 0 until [layers] each exactly once, in order. */
+fun List<LayerRange>.covers(layers: Int): Boolean {
+    var next = 0
+    for (range in this) {
+        if (range.first != next) return false
+        next = range.end
+    }
+    return next == layers
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/store/StoreCommand.kt
@@ -0,0 +1,36 @@
+package io.mimosatrail.core.store
+
+import io.mimosatrail.core.id.LeaseId
+import io.mimosatrail.core.id.StoreRevision
+import kotlin.time.Duration
+
+/** One counted call of the platform's store. */
+sealed interface StoreCommand {
+    /** Reads one key; replied by [StoreReply.Value]. */
+    data class Get(val key: StoreKey) : StoreCommand
+
+    /** Reads up to [limit] keys under [prefix] in key order, after [after]; replied by [StoreReply.Values]. */
+    data class List(val prefix: StoreKey, val after: StoreKey? = null, val limit: Int = 100) : StoreCommand
+
+    /**
+     * Writes [value] if the key is at [expected] ([StoreRevision] 0: absent; null: unconditionally); replied by
+     * [StoreReply.Written] or [StoreReply.Conflict]. With [lease] the key goes when the lease ends.
+     */
+    class Put(val key: StoreKey, val value: ByteArray, val expected: StoreRevision?, val lease: LeaseId? = null) :
+        StoreCommand
+
+    /** Deletes the key if it is at [expected]; replied by [StoreReply.Written] or [StoreReply.Conflict]. */
+    data class Delete(val key: StoreKey, val expected: StoreRevision?) : StoreCommand
+
+    /** Waits up to [wait] for changes under [prefix] after [after]; replied by [StoreReply.Changes]. */
+    data class Watch(val prefix: StoreKey, val after: StoreRevision, val wait: Duration) : StoreCommand
+
+    /** Opens a lease that ends [ttl] after its last renewal; replied by [StoreReply.Lease]. */
+    data class Grant(val ttl: Duration) : StoreCommand
+
+    /** Renews a lease; replied by [StoreReply.Lease], or [StoreReply.Conflict] where it has ended. */
+    data class Renew(val lease: LeaseId) : StoreCommand
+
+    /** Ends a lease and deletes its keys; replied by [StoreReply.Written]. */
+    data class Revoke(val lease: LeaseId) : StoreCommand
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.mimosatrail.daemon
+
+internal object Placeholder
--- /dev/null
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.mimosatrail.protocol
+
+internal object Placeholder
--- /dev/null
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.mimosatrail.standins
+
+internal object Placeholder
--- /dev/null
+++ b/upstream/src/main/kotlin/io/mimosatrail/upstream/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.mimosatrail.upstream
+
+internal object Placeholder
