--- a/bench/src/main/kotlin/io/mimosatrail/bench/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.mimosatrail.bench
-
-internal object Placeholder
--- /dev/null
+++ b/core/src/test/kotlin/io/mimosatrail/core/time/TimerServiceTest.kt
@@ -0,0 +1,27 @@
+package io.mimosatrail.core.time
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+
+class TimerServiceTest :
+    FunSpec({
+        test("a subscriber runs once a period, and once only when late by several") {
+            val timers = TimerService()
+            val runs = mutableListOf<Moment>()
+            timers.every("count", 10.milliseconds) { runs += it }
+            val start = Moment(0)
+            listOf(0, 5, 10, 45, 50, 55).forEach { timers.advance(start + it.milliseconds) }
+            runs shouldBe listOf(0, 10, 45, 55).map { start + it.milliseconds }
+        }
+
+        test("an ended subscription runs no more") {
+            val timers = TimerService()
+            var runs = 0
+            val end = timers.every("count", 10.milliseconds) { runs++ }
+            timers.advance(Moment(0))
+            end()
+            timers.advance(Moment(1_000_000_000))
+            runs shouldBe 1
+        }
+    })
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.mimosatrail.daemon
-
-internal object Placeholder
--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/stream/StreamEvent.kt
@@ -0,0 +1,13 @@
+package io.mimosatrail.daemon.entry.stream
+
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.protocol.FinishReason
+
+/** What a caller sees of a stream: tokens in order, then exactly one [Finished] or [Failed]. */
+sealed interface StreamEvent {
+    data class Token(val index: Int, val token: Int) : StreamEvent
+
+    data class Finished(val reason: FinishReason) : StreamEvent
+
+    data class Failed(val refusal: Refusal) : StreamEvent
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/FrameChannel.kt
@@ -0,0 +1,50 @@
+package io.mimosatrail.protocol
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readFully
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+
+/** Length-prefixed envelopes over one socket. */
+internal class FrameChannel(private val socket: Socket, private val maxFrameBytes: Int) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+    private val writing = Mutex()
+
+    /** Reads one envelope; throws where the connection ends. */
+    suspend fun read(): Result<Envelope, String> {
+        val size = input.readInt()
+        if (size !in 1..maxFrameBytes) return Err("frame of $size bytes is outside 1..$maxFrameBytes")
+        val bytes = ByteArray(size)
+        input.readFully(bytes)
+        return PeerCodec.decode(bytes)
+    }
+
+    /** Writes one envelope; refuses one that is over the frame limit before writing anything. */
+    suspend fun write(envelope: Envelope, flush: Boolean = true): Result<Unit, String> {
+        val bytes = PeerCodec.encode(envelope)
+        if (bytes.size > maxFrameBytes) return Err("frame of ${bytes.size} bytes is over $maxFrameBytes")
+        writing.withLock {
+            output.writeInt(bytes.size)
+            output.writeFully(bytes)
+            if (flush) output.flush()
+        }
+        return Ok(Unit)
+    }
+
+    suspend fun flush() {
+        writing.withLock { output.flush() }
+    }
+
+    fun close() {
+        socket.close()
+    }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/PeerCodec.kt
@@ -0,0 +1,33 @@
+package io.mimosatrail.protocol
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/** Turns envelopes into CBOR bytes and back. */
+@OptIn(ExperimentalSerializationApi::class)
+object PeerCodec {
+    private val cbor = Cbor {
+        ignoreUnknownKeys = true
+        encodeDefaults = false
+        alwaysUseByteString = true
+    }
+
+    fun encode(envelope: Envelope): ByteArray = cbor.encodeToByteArray(envelope)
+
+    /** Decodes one envelope; the error says what is wrong with the bytes. */
+    fun decode(bytes: ByteArray): Result<Envelope, String> = try {
+        Ok(cbor.decodeFromByteArray<Envelope>(bytes))
+    } catch (e: SerializationException) {
+        Err("not a valid envelope: ${e.message}")
+    } catch (e: IllegalArgumentException) {
+        Err("not a valid envelope: ${e.message}")
+    } catch (e: IndexOutOfBoundsException) {
+        Err("envelope is cut short: ${e.message}")
+    }
+}
--- a/protocol/src/main/kotlin/io/mimosatrail/protocol/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.mimosatrail.protocol
-
-internal object Placeholder
--- a/upstream/src/main/kotlin/io/mimosatrail/upstream/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.mimosatrail.upstream
-
-internal object Placeholder
