--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
@@ -0,0 +1,74 @@
+package io.mimosatrail.core.routing
+
+import io.mimosatrail.core.config.ModelPool
+import io.mimosatrail.core.config.PoolPreference
+import io.mimosatrail.core.pipeline.Chain
+import io.mimosatrail.core.pipeline.LayerRange
+import io.mimosatrail.core.pipeline.Stage
+import io.mimosatrail.core.time.Moment
+import kotlin.random.Random
+
+/** Chooses up to two upstreams of a group to be weighed against each other. */
+typealias GroupSampler = (group: LayerGroup, now: Moment) -> List<UpstreamRow>
+
+/** Chooses chains over the rows of [table]. Not thread-safe. */
+class ChainRouter(
+    private val table: UpstreamTable,
+    private val random: Random,
+    private val link: LinkCost = placeDistance,
+    private val score: UpstreamScore = ::predictedTime,
+) {
+    /** A chain that covers the layers of the request's pool, or null where none can. */
+    fun chooseChain(request: ChainRequest, now: Moment): Chain? {
+        val candidates = groups(request, now).flatMap { candidates(it, now) }
+        val chosen = cheapestChain(candidates, request.pool.layers, link, joinFor(request.pool)) ?: return null
+        chosen.forEach { it.row.sent.add(now) }
+        return chosen.toChain(request.pool)
+    }
+
+    /** An upstream that holds exactly [layers], or null where none may be used. */
+    fun chooseStage(request: ChainRequest, layers: LayerRange, now: Moment): Stage? {
+        val group = groups(request, now).firstOrNull { it.layers == layers } ?: return null
+        val chosen = candidates(group, now).minByOrNull { it.micros } ?: return null
+        chosen.row.sent.add(now)
+        return chosen.toStage()
+    }
+
+    private fun groups(request: ChainRequest, now: Moment): List<LayerGroup> =
+        layerGroups(table.serving(request.pool.id, now).filter { it.id !in request.excluded }, request.pool)
+
+    private fun candidates(group: LayerGroup, now: Moment): List<StageCandidate> =
+        twoAtRandom(group.members, random).map { StageCandidate(it, group, score(it, now)) }
+
+    private fun joinFor(pool: ModelPool): CostJoin = when (pool.preference) {
+        PoolPreference.THROUGHPUT -> slowestPart
+        PoolPreference.RECOVERY -> sumOfTimes
+    }
+}
+
+/** Groups [rows] by layer range, leaving out those that hold another model, version or shape than [pool] says. */
+internal fun layerGroups(rows: List<UpstreamRow>, pool: ModelPool): List<LayerGroup> = rows
+    .filter { it.holds(pool) }
+    .groupBy { checkNotNull(it.description?.engine).layers }
+    .map { (layers, members) -> LayerGroup(layers, members) }
+
+private fun UpstreamRow.holds(pool: ModelPool): Boolean {
+    val engine = description?.engine ?: return false
+    return engine.model == pool.model && engine.version == pool.version && engine.modelLayers == pool.layers &&
+        engine.adapters.containsAll(pool.adapters)
+}
+
+private fun twoAtRandom(members: List<UpstreamRow>, random: Random): List<UpstreamRow> {
+    if (members.size <= 2) return members
+    val first = random.nextInt(members.size)
+    val second = (first + 1 + random.nextInt(members.size - 1)) % members.size
+    return listOf(members[first], members[second])
+}
+
+private fun List<StageCandidate>.toChain(pool: ModelPool): Chain {
+    val chain = Chain(map { it.toStage() })
+    check(chain.covers(pool.layers)) { "chain ${chain.stages} does not cover ${pool.layers} layers" }
+    return chain
+}
+
+private fun StageCandidate.toStage() = Stage(row.id, row.entry.address, group.layers)
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/SentCounter.kt
@@ -0,0 +1,28 @@
+package io.mimosatrail.core.routing
+
+import io.mimosatrail.core.time.Moment
+import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** Counts requests sent since the last load report; they fade, as the reports may never come. */
+internal class SentCounter(private val halfLife: Duration = 1.seconds) {
+    private var value = 0.0
+    private var at: Moment? = null
+
+    fun add(now: Moment) {
+        value = count(now) + 1
+        at = now
+    }
+
+    fun reset() {
+        value = 0.0
+    }
+
+    fun count(now: Moment): Double {
+        if (value == 0.0) return 0.0
+        val age = at?.let { now - it } ?: return 0.0
+        return value * 0.5.pow(age.toDouble(DurationUnit.SECONDS) / halfLife.toDouble(DurationUnit.SECONDS))
+    }
+}
