--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/ModelFront.kt
@@ -0,0 +1,157 @@
+package io.mimosatrail.daemon.entry.front
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.getOrElse
+import io.mimosatrail.core.config.ModelPool
+import io.mimosatrail.core.config.RoutingRule
+import io.mimosatrail.core.config.Workspace
+import io.mimosatrail.core.id.RequestId
+import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.outcome.RefusalReason
+import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.daemon.entry.stream.ModelRequest
+import io.mimosatrail.daemon.entry.stream.StreamEvent
+import io.mimosatrail.daemon.entry.stream.StreamOpener
+import io.mimosatrail.daemon.host.Host
+import io.mimosatrail.daemon.http.REQUEST_ID_HEADER
+import io.mimosatrail.daemon.http.notRun
+import io.mimosatrail.daemon.http.readBody
+import io.mimosatrail.daemon.http.toResponse
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.channels.produce
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import kotlin.time.Duration.Companion.minutes
+
+private val defaultTimeout = 10.minutes
+
+/** Reads one of the two completion bodies. */
+internal typealias ParseQuery = (ByteArray, Tokenizer) -> Result<ModelQuery, Refusal>
+
+/** The OpenAI-compatible interface: answers model requests whole or as server-sent events. */
+internal class ModelFront(
+    private val host: Host,
+    private val gate: EntryGate,
+    private val open: StreamOpener,
+    private val maxBodyBytes: Int,
+    private val tokenizer: Tokenizer = ByteTokenizer,
+) {
+    /** Answers one request; [done] runs when its answer has ended, also after this function has returned. */
+    fun handle(id: RequestId, request: Request, parse: ParseQuery, done: () -> Unit): Response {
+        val accepted = accept(id, request, parse).getOrElse {
+            done()
+            return it.toResponse(id)
+        }
+        return respond(accepted, done)
+    }
+
+    private fun accept(id: RequestId, request: Request, parse: ParseQuery): Result<Accepted, Refusal> = binding {
+        val workspace = gate.authenticate(request).bind()
+        val body = request.readBody(maxBodyBytes).bind()
+        val query = parse(body, tokenizer).bind()
+        val timeout = request.timeout(defaultTimeout).bind()
+        val route = route(workspace, query).bind()
+        val maxTokens = minOf(query.maxTokens, route.pool.maxTokens)
+        gate.admit(workspace, query.prompt.size + maxTokens).bind()
+        val deadline = host.clock() + timeout
+        val priority = route.rule.priority
+        Accepted(query, ModelRequest(id, workspace.id, route.pool, query.prompt, maxTokens, priority, deadline))
+    }
+
+    private fun route(workspace: Workspace, query: ModelQuery): Result<PoolRoute, Refusal> {
+        val configuration = host.configuration()
+        val rule = configuration.ruleFor(workspace.id, query.model)
+            ?: return Err(notRun(RefusalReason.NOT_FOUND, Step.ROUTE, "no rule for model ${query.model}"))
+        val pool = configuration.services[rule.service] as? ModelPool
+            ?: return Err(notRun(RefusalReason.NOT_FOUND, Step.ROUTE, "rule ${rule.id} names no model pool"))
+        return Ok(PoolRoute(rule, pool))
+    }
+
+    private fun respond(accepted: Accepted, done: () -> Unit): Response {
+        val answer = Answer(AnswerWriter(accepted.request.id, accepted.query), done)
+        val events = host.scope.produce(capacity = accepted.request.maxTokens + 1) {
+            open(accepted.request).collect { send(it) }
+        }
+        val first = runBlocking { events.receiveCatching().getOrNull() } ?: StreamEvent.Failed(ended())
+        return when {
+            first is StreamEvent.Failed -> answer.refuse(accepted.request.id, first.refusal)
+            accepted.query.stream -> answer.stream(accepted, first, events)
+            else -> answer.whole(accepted, first, events)
+        }
+    }
+
+    private inner class Answer(private val writer: AnswerWriter, private val done: () -> Unit) {
+        fun refuse(id: RequestId, refusal: Refusal): Response {
+            done()
+            return refusal.toResponse(id)
+        }
+
+        fun whole(accepted: Accepted, first: StreamEvent, events: ReceiveChannel<StreamEvent>): Response {
+            val text = StringBuilder()
+            var tokens = 0
+            var event: StreamEvent? = first
+            while (event is StreamEvent.Token) {
+                text.append(tokenizer.decode(event.token))
+                tokens++
+                event = runBlocking { events.receiveCatching().getOrNull() }
+            }
+            done()
+            return when (event) {
+                is StreamEvent.Finished ->
+                    ok(
+                        accepted.request.id,
+                        "application/json",
+                    ).body(writer.whole(text.toString(), tokens, event.reason))
+
+                is StreamEvent.Failed -> event.refusal.toResponse(accepted.request.id)
+                else -> ended().toResponse(accepted.request.id)
+            }
+        }
+
+        fun stream(accepted: Accepted, first: StreamEvent, events: ReceiveChannel<StreamEvent>): Response {
+            val body = ChunkStream(onClose = {
+                events.cancel()
+                done()
+            })
+            body.write(render(first))
+            host.scope.launch {
+                var last = first
+                for (event in events) {
+                    body.write(render(event))
+                    last = event
+                }
+                if (last is StreamEvent.Token) body.write(writer.failure(ended()))
+                body.end()
+            }
+            return ok(accepted.request.id, "text/event-stream").header("Cache-Control", "no-store").body(body)
+        }
+
+        private fun render(event: StreamEvent): String = when (event) {
+            is StreamEvent.Token -> writer.chunk(tokenizer.decode(event.token))
+            is StreamEvent.Finished -> writer.finish(event.reason)
+            is StreamEvent.Failed -> writer.failure(event.refusal)
+        }
+
+        private fun ok(id: RequestId, type: String) =
+            Response(Status.OK).header("Content-Type", type).header(REQUEST_ID_HEADER, id.value)
+    }
+
+    private fun ended() = Refusal(
+        Outcome.UNKNOWN,
+        RefusalReason.PEER_LOST,
+        Step.ANSWER,
+        host.self.id,
+        "the stream ended without a result",
+    )
+
+    private class Accepted(val query: ModelQuery, val request: ModelRequest)
+
+    private class PoolRoute(val rule: RoutingRule, val pool: ModelPool)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/ModelPayloads.kt
@@ -0,0 +1,69 @@
+package io.mimosatrail.daemon.entry.front
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+
+/** Body of `POST /v1/completions`; [prompt] is a string or an array of token ids. */
+@Serializable
+internal data class CompletionPayload(
+    val model: String,
+    val prompt: JsonElement,
+    @SerialName("max_tokens") val maxTokens: Int = 16,
+    val stream: Boolean = false,
+    val n: Int = 1,
+)
+
+/** Body of `POST /v1/chat/completions`. */
+@Serializable
+internal data class ChatPayload(
+    val model: String,
+    val messages: List<ChatMessage>,
+    @SerialName("max_tokens") val maxTokens: Int = 16,
+    val stream: Boolean = false,
+    val n: Int = 1,
+)
+
+/** One message of a chat. */
+@Serializable
+internal data class ChatMessage(val role: String, val content: String)
+
+/** A completion, whole or as one chunk of a stream. */
+@Serializable
+internal data class CompletionAnswer(
+    val id: String,
+    @SerialName("object") val kind: String,
+    val model: String,
+    val choices: List<CompletionChoice>,
+    val usage: Usage? = null,
+)
+
+/** The text of a completion; [finishReason] is null while more follows. */
+@Serializable
+internal data class CompletionChoice(
+    val index: Int = 0,
+    val text: String? = null,
+    val message: ChatMessage? = null,
+    val delta: ChatDelta? = null,
+    @SerialName("finish_reason") val finishReason: String? = null,
+)
+
+/** New text of a chat stream. */
+@Serializable
+internal data class ChatDelta(val content: String? = null)
+
+/** Token counts of a request. */
+@Serializable
+internal data class Usage(
+    @SerialName("prompt_tokens") val promptTokens: Int,
+    @SerialName("completion_tokens") val completionTokens: Int,
+    @SerialName("total_tokens") val totalTokens: Int = promptTokens + completionTokens,
+)
+
+/** Body of `GET /v1/models`. */
+@Serializable
+internal data class ModelList(val data: List<ModelEntry>, @SerialName("object") val kind: String = "list")
+
+/** One model of the list. */
+@Serializable
+internal data class ModelEntry(val id: String, @SerialName("object") val kind: String = "model")
