--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Caller.kt
@@ -0,0 +1,32 @@
+package io.mimosatrail.bench.fleet
+
+import org.http4k.client.JettyClient
+import org.http4k.core.BodyMode
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+
+/** A field application: calls entries with the bearer [key] of its workspace. */
+class Caller(private val key: String) : AutoCloseable {
+    private val http = JettyClient(bodyMode = BodyMode.Stream)
+    private val send: HttpHandler = http
+
+    /** Asks for a streamed completion and reads it to its end, telling [onText] each piece of text. */
+    fun stream(entry: Member, prompt: String, maxTokens: Int, model: String, onText: (String) -> Unit = {}): StreamedAnswer {
+        val body = """{"model":"$model","prompt":"$prompt","max_tokens":$maxTokens,"stream":true}"""
+        val response = send(request(Method.POST, entry, "/v1/completions").body(body))
+        return response.use { readStream(it, onText) }
+    }
+
+    /** Calls a plain service. */
+    fun call(entry: Member, method: Method, path: String, body: String = "", idempotencyKey: String? = null): Response {
+        val request = request(method, entry, path).body(body)
+        return send(idempotencyKey?.let { request.header("Idempotency-Key", it) } ?: request)
+    }
+
+    override fun close() = http.close()
+
+    private fun request(method: Method, entry: Member, path: String) =
+        Request(method, entry.url + path).header("Authorization", "Bearer $key").header("Content-Type", "application/json")
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/StreamedAnswer.kt
@@ -0,0 +1,39 @@
+package io.mimosatrail.bench.fleet
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.http4k.core.Response
+
+private const val DATA = "data: "
+
+/** A streamed answer as its caller saw it; [finished] is true only where the finish event came. */
+data class StreamedAnswer(val status: Int, val text: String, val finished: Boolean, val problem: String?)
+
+/** Reads server-sent events until they end. */
+internal fun readStream(response: Response, onText: (String) -> Unit): StreamedAnswer {
+    if (response.status.code != 200) return StreamedAnswer(response.status.code, "", false, response.bodyString())
+    val text = StringBuilder()
+    var finished = false
+    var problem: String? = null
+    var isError = false
+    response.body.stream.bufferedReader().forEachLine { line ->
+        when {
+            line == "event: error" -> isError = true
+            line == "${DATA}[DONE]" -> finished = true
+            line.startsWith(DATA) && isError -> problem = line.removePrefix(DATA)
+            line.startsWith(DATA) -> textOf(line).let {
+                text.append(it)
+                onText(it)
+            }
+        }
+    }
+    return StreamedAnswer(response.status.code, text.toString(), finished, problem)
+}
+
+private fun textOf(line: String): String {
+    val event = Json.parseToJsonElement(line.removePrefix(DATA)).jsonObject
+    val choice = event.getValue("choices").jsonArray.first().jsonObject
+    return choice["text"]?.jsonPrimitive?.content.orEmpty()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/host/TimerLoop.kt
@@ -0,0 +1,38 @@
+package io.mimosatrail.daemon.host
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.mimosatrail.core.time.Clock
+import io.mimosatrail.core.time.TimerService
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val log = KotlinLogging.logger("timers")
+private val longestSleep = 20.milliseconds
+private val shortestSleep = 1.milliseconds
+
+/** Drives [timers] from the real clock until [this] scope ends. */
+internal fun CoroutineScope.driveTimers(timers: TimerService, clock: Clock) {
+    launch {
+        while (isActive) {
+            try {
+                timers.advance(clock())
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                log.error(e) { "timers: a subscriber failed: ${e.message}" }
+            }
+            delay(pause(timers, clock))
+        }
+    }
+}
+
+private fun pause(timers: TimerService, clock: Clock): Duration {
+    val now = clock()
+    val due = timers.nextDue(now) ?: return longestSleep
+    return (due - now).coerceIn(shortestSleep, longestSleep)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
@@ -0,0 +1,61 @@
+package io.mimosatrail.daemon.main
+
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.parse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.mimosatrail.daemon.Daemon
+import io.mimosatrail.daemon.logging.LogFormat
+import io.mimosatrail.daemon.logging.LogLevel
+import io.mimosatrail.daemon.logging.setUpLogging
+import io.mimosatrail.daemon.settings.DaemonSettings
+import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.system.exitProcess
+
+private const val EXIT_OK = 0
+private const val EXIT_FAILED = 1
+private const val EXIT_USAGE = 2
+private const val EXIT_CUT = 3
+
+private val log = KotlinLogging.logger("daemon")
+
+/** Starts the daemon given by the arguments and ends it at SIGTERM or SIGINT. */
+fun main(arguments: Array<String>) {
+    val command = DaemonCommand(::serve)
+    try {
+        command.parse(arguments)
+    } catch (e: CliktError) {
+        command.echoFormattedHelp(e)
+        exitProcess(if (e is UsageError) EXIT_USAGE else e.statusCode)
+    }
+}
+
+private fun serve(settings: DaemonSettings, format: LogFormat, level: LogLevel) {
+    setUpLogging(format, level)
+    val daemon = Daemon(settings)
+    val stopping = CountDownLatch(1)
+    catchSignals(settings, stopping)
+    try {
+        runBlocking { daemon.start() }
+    } catch (e: Exception) {
+        log.error(e) { "daemon: $settings could not start: ${e.message}" }
+        exitProcess(EXIT_FAILED)
+    }
+    stopping.await()
+    runBlocking { daemon.stop() }
+    exitProcess(EXIT_OK)
+}
+
+private fun catchSignals(settings: DaemonSettings, stopping: CountDownLatch) {
+    val seen = AtomicInteger()
+    listOf("TERM", "INT").forEach { name ->
+        Signal.handle(Signal(name)) {
+            if (seen.incrementAndGet() > 1 && settings.cutOnSecondSignal) Runtime.getRuntime().halt(EXIT_CUT)
+            log.info { "daemon: signal $name received, stopping after requests in flight" }
+            stopping.countDown()
+        }
+    }
+}
