--- a/standins/src/main/kotlin/io/mimosatrail/standins/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.mimosatrail.standins
-
-internal object Placeholder
--- /dev/null
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/StandinServer.kt
@@ -0,0 +1,63 @@
+package io.mimosatrail.standins
+
+import org.eclipse.jetty.server.Handler
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.Callback
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.http4k.core.HttpHandler
+import org.http4k.server.Http4kJettyHttpHandler
+
+/** Most requests that one stand-in holds open at once; each holds a thread. */
+private const val MAX_THREADS = 2_048
+private const val MIN_THREADS = 8
+private const val ACCEPTORS = 1
+private const val SELECTORS = 2
+
+/** HTTP server of a stand-in on the loopback address; [port] 0 takes any free port. */
+internal class StandinServer(private val port: Int, handler: HttpHandler) {
+    private val pool = QueuedThreadPool(MAX_THREADS, MIN_THREADS).apply { isDaemon = true }
+    private val server = Server(pool)
+    private val connector = ServerConnector(server, ACCEPTORS, SELECTORS, HttpConnectionFactory(configuration()))
+
+    init {
+        connector.host = "127.0.0.1"
+        connector.port = port
+        server.addConnector(connector)
+        server.handler = ConnectionDropper(Http4kJettyHttpHandler(handler))
+    }
+
+    val url: String get() = "http://127.0.0.1:${connector.localPort}"
+
+    fun start() {
+        server.start()
+    }
+
+    /** Closes every connection at once. */
+    fun stop() {
+        server.stopTimeout = 0
+        connector.connectedEndPoints.toList().forEach { it.close() }
+        server.stop()
+    }
+
+    private fun configuration() = HttpConfiguration().apply { sendServerVersion = false }
+}
+
+/** Thrown by a handler to close the connection in place of an answer. */
+internal class DropConnection : RuntimeException("the connection is dropped") {
+    override fun fillInStackTrace(): Throwable = this
+}
+
+private class ConnectionDropper(next: Handler) : Handler.Wrapper(next) {
+    override fun handle(request: Request, response: Response, callback: Callback): Boolean = try {
+        super.handle(request, response, callback)
+    } catch (e: DropConnection) {
+        request.connectionMetaData.connection.endPoint.close()
+        callback.succeeded()
+        true
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/instances/InstanceListStandin.kt
@@ -0,0 +1,83 @@
+package io.mimosatrail.standins.instances
+
+import io.mimosatrail.standins.Standin
+import io.mimosatrail.standins.StandinServer
+import io.mimosatrail.standins.answer
+import io.mimosatrail.standins.faults.FaultSwitch
+import io.mimosatrail.standins.read
+import io.mimosatrail.standins.refuse
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.path
+import org.http4k.routing.routes
+
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** Stand-in of the instance list, with the faults of [InstanceListFaults]; lags by [lagMillis] without any. */
+class InstanceListStandin(port: Int = 0, lagMillis: Long = 0) : Standin {
+    /** Faults in force. */
+    val faults = FaultSwitch(InstanceListFaults(lagMillis = lagMillis), InstanceListFaults.serializer())
+
+    private val history = ArrayList<Change>()
+    private var frozenList: List<InstanceRow>? = null
+    private val server = StandinServer(port, handler())
+
+    override val url: String get() = server.url
+
+    fun start(): InstanceListStandin {
+        server.start()
+        return this
+    }
+
+    override fun stop() = server.stop()
+
+    /** Adds or replaces a row. */
+    @Synchronized
+    fun put(row: InstanceRow) {
+        history += Change(System.nanoTime(), row.id, row)
+    }
+
+    /** Removes the row of [id]. */
+    @Synchronized
+    fun remove(id: String) {
+        history += Change(System.nanoTime(), id, null)
+    }
+
+    /** The list as a reader sees it now. */
+    @Synchronized
+    fun visible(): List<InstanceRow> {
+        val seen = frozenList ?: listAt(System.nanoTime() - faults.current.lagMillis * NANOS_PER_MILLI)
+        frozenList = seen.takeIf { faults.current.frozen }
+        return seen
+    }
+
+    private fun listAt(nanos: Long): List<InstanceRow> {
+        val rows = LinkedHashMap<String, InstanceRow?>()
+        history.filter { it.nanos <= nanos }.forEach { rows[it.id] = it.row }
+        return rows.values.filterNotNull()
+    }
+
+    private fun handler(): HttpHandler = routes(
+        faults.routes(),
+        "/v1/instances" bind Method.GET to { list() },
+        "/v1/instances/{id}" bind Method.PUT to { request ->
+            put(request.read<InstanceRow>())
+            Response(Status.NO_CONTENT)
+        },
+        "/v1/instances/{id}" bind Method.DELETE to { request ->
+            remove(request.path("id").orEmpty())
+            Response(Status.NO_CONTENT)
+        },
+    )
+
+    private fun list(): Response = if (faults.current.outage) {
+        refuse(Status.SERVICE_UNAVAILABLE, "unavailable", "the instance list is down")
+    } else {
+        answer(InstancesBody(visible()))
+    }
+
+    private class Change(val nanos: Long, val id: String, val row: InstanceRow?)
+}
