--- a/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Caller.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Caller.kt
@@ -13,20 +13,24 @@
     private val send: HttpHandler = http
 
     /** Asks for a streamed completion and reads it to its end, telling [onText] each piece of text. */
-    fun stream(entry: Member, prompt: String, maxTokens: Int, model: String, onText: (String) -> Unit = {}): StreamedAnswer {
+    fun stream(entry: Member, prompt: String, maxTokens: Int, model: String, onText: (String) -> Unit = {}): StreamedAnswer =
+        stream(entry.url, prompt, maxTokens, model, onText)
+
+    /** Asks the entry at base URL [entry] for a streamed completion. */
+    fun stream(entry: String, prompt: String, maxTokens: Int, model: String, onText: (String) -> Unit): StreamedAnswer {
         val body = """{"model":"$model","prompt":"$prompt","max_tokens":$maxTokens,"stream":true}"""
-        val response = send(request(Method.POST, entry, "/v1/completions").body(body))
+        val response = send(request(Method.POST, entry + "/v1/completions").body(body))
         return response.use { readStream(it, onText) }
     }
 
     /** Calls a plain service. */
     fun call(entry: Member, method: Method, path: String, body: String = "", idempotencyKey: String? = null): Response {
-        val request = request(method, entry, path).body(body)
+        val request = request(method, entry.url + path).body(body)
         return send(idempotencyKey?.let { request.header("Idempotency-Key", it) } ?: request)
     }
 
     override fun close() = http.close()
 
-    private fun request(method: Method, entry: Member, path: String) =
-        Request(method, entry.url + path).header("Authorization", "Bearer $key").header("Content-Type", "application/json")
+    private fun request(method: Method, url: String) =
+        Request(method, url).header("Authorization", "Bearer $key").header("Content-Type", "application/json")
 }
