--- a/core/src/main/kotlin/io/mimosatrail/core/limits/TokenBucket.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/limits/TokenBucket.kt
@@ -29,11 +29,22 @@
     /** Takes as much of [amount] as is there and answers how much. */
     fun takeUpTo(amount: Double, now: Moment): Double {
         fill(now)
-        val taken = minOf(level, amount).coerceAtLeast(0.0)
+        val taken = amount.coerceIn(0.0, level.coerceAtLeast(0.0))
         level -= taken
         return taken
     }
 
+    /** What is there now; below zero while a debt is paid. */
+    fun level(now: Moment): Double {
+        fill(now)
+        return level
+    }
+
+    /** Takes [amount] that has already been used, even where that leaves a debt. */
+    fun charge(amount: Double) {
+        level -= amount
+    }
+
     /** Puts back what was taken and not used. */
     fun giveBack(amount: Double) {
         level = minOf(burst, level + amount)
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/admission/Admission.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/admission/Admission.kt
@@ -2,9 +2,7 @@
 
 import io.mimosatrail.core.config.Workspace
 import io.mimosatrail.core.limits.LimitDecision
-import io.mimosatrail.core.limits.WorkspaceLimits
-import io.mimosatrail.core.membership.InstanceRole
-import io.mimosatrail.core.membership.InstanceState
+import io.mimosatrail.core.limits.PermitTable
 import io.mimosatrail.core.outcome.Outcome
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
@@ -13,33 +11,31 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Holds requests to the limits of their workspaces at this entry. */
+/** Holds requests to the limits of their workspaces, which hold over all entries together. */
 class Admission(private val host: Host) {
-    private val limits = WorkspaceLimits()
+    private val table = PermitTable()
+    private val homes = HomeEntries(host)
+    private val exchange = PermitExchange(host, homes, table)
     private val refused = host.meters.counter("mimosatrail.admission.refused", "reason", "over-limit")
 
-    /** Begins to forget workspaces that are no longer configured. */
+    /** Begins to borrow permits from homes and to lend those of this entry's workspaces. */
     fun start() {
-        host.timers.every("admission", CLEAN_PERIOD) { clean() }
+        exchange.start()
+        host.timers.every("admission", CLEAN_PERIOD) { now ->
+            val known = host.configuration().workspaces.keys
+            synchronized(table) { table.retain(known, now) }
+        }
     }
 
     /** Null where a request of [tokens] tokens is within the limits of [workspace], else the refusal to answer. */
     fun admit(workspace: Workspace, tokens: Int): Refusal? {
-        val decision = synchronized(limits) { limits.admit(workspace, tokens, 1.0 / entries(), host.clock()) }
+        val share = 1.0 / homes.count()
+        val decision = synchronized(table) { table.admit(workspace, tokens, share, host.clock()) }
         if (decision !is LimitDecision.OverLimit) return null
         refused.increment()
         return decision.toRefusal(workspace)
     }
 
-    private fun entries(): Int = host.instances()
-        .count { it.role == InstanceRole.ENTRY && it.state == InstanceState.LIVE }
-        .coerceAtLeast(1)
-
-    private fun clean() {
-        val known = host.configuration().workspaces.keys
-        synchronized(limits) { limits.retain(known) }
-    }
-
     private fun LimitDecision.OverLimit.toRefusal(workspace: Workspace) = Refusal(
         outcome = Outcome.NOT_RUN,
         reason = RefusalReason.OVER_LIMIT,
