--- /dev/null
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/Main.kt
@@ -0,0 +1,39 @@
+package io.mimosatrail.cli
+
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.parse
+import com.github.ajalt.clikt.core.subcommands
+import io.mimosatrail.cli.key.KeyCommand
+import io.mimosatrail.cli.key.KeyHashCommand
+import io.mimosatrail.cli.run.ExitCode
+import io.mimosatrail.cli.run.MimosatrailCommand
+import io.mimosatrail.cli.ticket.TicketCheckCommand
+import io.mimosatrail.cli.ticket.TicketCommand
+import io.mimosatrail.cli.ticket.TicketSubmitCommand
+import kotlin.system.exitProcess
+
+/** The command-line tool; tests run it without ending the process. */
+fun mimosatrail(): MimosatrailCommand = MimosatrailCommand().subcommands(
+    TicketCommand().subcommands(
+        TicketCheckCommand(),
+        TicketSubmitCommand(),
+    ),
+    KeyCommand().subcommands(KeyHashCommand()),
+)
+
+/** Runs the tool and ends the process with one of [ExitCode]. */
+fun main(arguments: Array<String>) {
+    val command = mimosatrail()
+    val code = try {
+        command.parse(arguments)
+        ExitCode.OK.code
+    } catch (e: UsageError) {
+        command.echoFormattedHelp(e)
+        ExitCode.USAGE.code
+    } catch (e: CliktError) {
+        command.echoFormattedHelp(e)
+        e.statusCode
+    }
+    exitProcess(code)
+}
--- a/cli/src/main/kotlin/io/mimosatrail/cli/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.mimosatrail.cli
-
-internal object Placeholder
--- /dev/null
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketFile.kt
@@ -0,0 +1,35 @@
+package io.mimosatrail.cli.ticket
+
+import com.github.michaelbull.result.getOrElse
+import io.mimosatrail.cli.run.ExitCode
+import io.mimosatrail.cli.run.fail
+import io.mimosatrail.core.config.TicketProblem
+import io.mimosatrail.core.config.problems
+import io.mimosatrail.platform.ticket.MAX_TICKET_BYTES
+import io.mimosatrail.platform.ticket.TicketDocument
+import io.mimosatrail.platform.ticket.TicketYaml
+import io.mimosatrail.platform.ticket.locate
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Reads the ticket in [file], or ends the command with what is wrong and where. */
+internal fun readTicket(file: Path): TicketDocument {
+    val size = Files.size(file)
+    if (size > MAX_TICKET_BYTES) {
+        fail("$file: the ticket has $size bytes, more than $MAX_TICKET_BYTES are refused", ExitCode.REFUSED)
+    }
+    val document = TicketYaml.parse(Files.readString(file)).getOrElse { error ->
+        fail("$file:${error.line}:${error.column}: ${error.detail}", ExitCode.REFUSED)
+    }
+    document.refuse(file, document.ticket.problems())
+    return document
+}
+
+/** Ends the command where there are [problems]. */
+internal fun TicketDocument.refuse(file: Path, problems: List<TicketProblem>) {
+    if (problems.isNotEmpty()) fail(describe(file, problems), ExitCode.REFUSED)
+}
+
+private fun TicketDocument.describe(file: Path, problems: List<TicketProblem>): String = problems.map { locate(it) }
+    .sortedWith(compareBy({ it.line }, { it.column }))
+    .joinToString("\n") { "$file:${it.line}:${it.column}: ${it.path}: ${it.detail}" }
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/config/ConfigObject.kt
@@ -0,0 +1,32 @@
+package io.mimosatrail.core.config
+
+import io.mimosatrail.core.id.RuleId
+import io.mimosatrail.core.id.ServiceId
+import io.mimosatrail.core.id.WorkspaceId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Names one configured object; pools and plain services share one space of names. */
+@Serializable
+data class ConfigObject(val kind: ConfigObjectKind, val id: String) {
+    override fun toString(): String = "${kind.label} $id"
+}
+
+/** Kind of a configured object. */
+@Serializable
+enum class ConfigObjectKind(val label: String) {
+    @SerialName("workspace")
+    WORKSPACE("workspace"),
+
+    @SerialName("service")
+    SERVICE("service"),
+
+    @SerialName("rule")
+    RULE("rule"),
+}
+
+internal fun WorkspaceId.toConfigObject() = ConfigObject(ConfigObjectKind.WORKSPACE, value)
+
+internal fun ServiceId.toConfigObject() = ConfigObject(ConfigObjectKind.SERVICE, value)
+
+internal fun RuleId.toConfigObject() = ConfigObject(ConfigObjectKind.RULE, value)
--- a/core/src/main/kotlin/io/mimosatrail/core/config/Configuration.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/config/Configuration.kt
@@ -4,14 +4,20 @@
 import io.mimosatrail.core.id.ModelId
 import io.mimosatrail.core.id.RuleId
 import io.mimosatrail.core.id.ServiceId
+import io.mimosatrail.core.id.TicketNumber
 import io.mimosatrail.core.id.WorkspaceId
 
-/** Everything in force at [revision]; immutable. */
+/**
+ * Everything in force at [revision]; immutable.
+ *
+ * [lastTickets] holds the last ticket that touched each object, of removed objects too.
+ */
 data class Configuration(
     val revision: ConfigRevision = ConfigRevision(0),
     val workspaces: Map<WorkspaceId, Workspace> = emptyMap(),
     val services: Map<ServiceId, Service> = emptyMap(),
     val rules: Map<RuleId, RoutingRule> = emptyMap(),
+    val lastTickets: Map<ConfigObject, TicketNumber> = emptyMap(),
 ) {
     private val workspaceByKeyHash: Map<String, Workspace> by lazy {
         workspaces.values.flatMap { workspace -> workspace.keyHashes.map { it to workspace } }.toMap()
