--- a/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
@@ -54,7 +54,9 @@
 
 private fun UpstreamRow.holds(pool: ModelPool): Boolean {
     val engine = description?.engine ?: return false
-    return engine.model == pool.model && engine.version == pool.version && engine.modelLayers == pool.layers &&
+    return engine.model == pool.model &&
+        engine.version == pool.version &&
+        engine.modelLayers == pool.layers &&
         engine.adapters.containsAll(pool.adapters)
 }
 
