--- a/core/src/main/kotlin/io/mimosatrail/core/config/TicketCheck.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/config/TicketCheck.kt
@@ -23,10 +23,10 @@
 }
 
 private fun Ticket.duplicates(): List<TicketProblem> {
-    val places = workspaces.mapIndexed { i, it -> it.id.toConfigObject() to TicketPath("workspaces", i, "id") } +
-        pools.mapIndexed { i, it -> it.id.toConfigObject() to TicketPath("pools", i, "id") } +
-        services.mapIndexed { i, it -> it.id.toConfigObject() to TicketPath("services", i, "id") } +
-        rules.mapIndexed { i, it -> it.id.toConfigObject() to TicketPath("rules", i, "id") } +
+    val places = workspaces.mapIndexed { i, named -> named.id.toConfigObject() to TicketPath("workspaces", i, "id") } +
+        pools.mapIndexed { i, named -> named.id.toConfigObject() to TicketPath("pools", i, "id") } +
+        services.mapIndexed { i, named -> named.id.toConfigObject() to TicketPath("services", i, "id") } +
+        rules.mapIndexed { i, named -> named.id.toConfigObject() to TicketPath("rules", i, "id") } +
         removed.objects.map { it to TicketPath("remove") }
     val seen = HashSet<ConfigObject>()
     return places.filterNot { (target, _) -> seen.add(target) }
