--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/call/LookupForwarder.kt
@@ -0,0 +1,84 @@
+package io.mimosatrail.daemon.entry.call
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.membership.UpstreamDescription
+import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.outcome.RefusalReason
+import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.daemon.entry.directory.Directory
+import io.mimosatrail.daemon.host.Host
+import io.mimosatrail.protocol.CallAnswer
+import io.mimosatrail.protocol.CallRefused
+import io.mimosatrail.protocol.PeerError
+import io.mimosatrail.protocol.PeerMessage
+
+private const val MAX_ATTEMPTS = 3
+private const val RETRY_AFTER_MILLIS = 1_000L
+
+/** Takes idempotent calls to any upstream of their service; asks another where one does not answer. */
+internal class LookupForwarder(private val host: Host, private val directory: Directory) {
+    suspend fun call(call: ServiceCall): Result<CallAnswer, Refusal> {
+        val tried = mutableSetOf<InstanceId>()
+        var mayHaveRun = false
+        var last =
+            refusal(RefusalReason.NO_UPSTREAM, Outcome.NOT_RUN, host.self.id, "no upstream of the service is known")
+        while (tried.size < MAX_ATTEMPTS && host.clock() < call.deadline) {
+            val upstream = choose(call, tried) ?: break
+            tried += upstream.instance
+            last = ask(call, upstream, MAX_ATTEMPTS - tried.size + 1).mapBoth({ return Ok(it) }, { it })
+            mayHaveRun = mayHaveRun || last.outcome != Outcome.NOT_RUN
+            if (!last.mayRetryElsewhere()) break
+        }
+        return Err(if (mayHaveRun) last.copy(outcome = Outcome.UNKNOWN) else last)
+    }
+
+    /** The less loaded of two upstreams chosen at random. */
+    private fun choose(call: ServiceCall, tried: Set<InstanceId>): UpstreamDescription? =
+        directory.upstreamsOf(call.service.id)
+            .filter { it.instance !in tried }
+            .shuffled()
+            .take(2)
+            .minByOrNull { it.load.running + it.load.waiting }
+
+    private suspend fun ask(
+        call: ServiceCall,
+        upstream: UpstreamDescription,
+        attemptsLeft: Int,
+    ): Result<CallAnswer, Refusal> {
+        val timeout = (call.deadline - host.clock()) / attemptsLeft
+        val message = call.toMessage(timeout.inWholeMilliseconds)
+        return host.peers.ask(upstream.address, message, timeout).mapBoth(
+            success = { onReply(upstream.instance, it) },
+            failure = { onError(upstream.instance, it) },
+        )
+    }
+
+    private fun onReply(from: InstanceId, reply: PeerMessage): Result<CallAnswer, Refusal> = when (reply) {
+        is CallAnswer -> {
+            reply.load?.let { directory.onLoad(from, it) }
+            Ok(reply)
+        }
+        is CallRefused -> {
+            reply.load?.let { directory.onLoad(from, it) }
+            directory.onRefused(from, reply.refusal.reason)
+            Err(reply.refusal)
+        }
+        else -> Err(refusal(RefusalReason.PEER_LOST, Outcome.UNKNOWN, from, "the sidecar gave no usable answer"))
+    }
+
+    private fun onError(from: InstanceId, error: PeerError): Result<CallAnswer, Refusal> {
+        directory.onLost(from)
+        val outcome = if (error is PeerError.NoAnswer) Outcome.UNKNOWN else Outcome.NOT_RUN
+        return Err(refusal(RefusalReason.PEER_LOST, outcome, from, "the sidecar did not answer: $error"))
+    }
+
+    private fun Refusal.mayRetryElsewhere() = reason != RefusalReason.NOT_FOUND && reason != RefusalReason.MALFORMED
+
+    private fun refusal(reason: RefusalReason, outcome: Outcome, peer: InstanceId, detail: String) =
+        Refusal(outcome, reason, Step.ROUTE, peer, detail, RETRY_AFTER_MILLIS)
+}
