--- a/core/src/main/kotlin/io/mimosatrail/core/calls/JournalStore.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/JournalStore.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import io.mimosatrail.core.id.Epoch
@@ -20,19 +21,22 @@
 /** Reads, seals and trims the journals of one service. */
 internal class JournalStore(private val keys: CallKeys, private val store: StoreCall) {
     /**
-     * Seals the journal of [epoch] at its first empty sequence. Afterwards nothing can be appended to it. Harmless where
-     * it is sealed already.
+     * Seals the journal of [epoch] at its first empty sequence, so that nothing can be appended to it afterwards.
+     * Harmless where it is sealed already.
      */
-    suspend fun seal(epoch: Epoch, by: InstanceId, nonce: WriterNonce): Result<Unit, StoreFault> {
-        val seal = CallCodec.encode(JournalRecord.Seal(nonce, by))
-        var sequence = end(epoch).getOrElse { return Err(it) } ?: return Ok(Unit)
+    suspend fun seal(epoch: Epoch, by: InstanceId, nonce: WriterNonce): Result<Unit, StoreFault> =
+        end(epoch).andThen { end ->
+            if (end == null) Ok(Unit) else seal(epoch, end, CallCodec.encode(JournalRecord.Seal(nonce, by)))
+        }
+
+    private suspend fun seal(epoch: Epoch, end: Long, seal: ByteArray): Result<Unit, StoreFault> {
+        var sequence = end
         while (true) {
-            val put = StoreCommand.Put(keys.record(epoch, sequence), seal, expected = ABSENT)
-            when (val reply = store(put)) {
-                is StoreReply.Written -> return Ok(Unit)
-                is StoreReply.Conflict -> if (reply.current.isSeal()) return Ok(Unit) else sequence++
-                else -> return Err(StoreFault("the seal of epoch $epoch was not confirmed: $reply"))
-            }
+            val reply = store(StoreCommand.Put(keys.record(epoch, sequence), seal, expected = ABSENT))
+            val isSealed = reply is StoreReply.Written || (reply is StoreReply.Conflict && reply.current.isSeal())
+            if (isSealed) return Ok(Unit)
+            if (reply !is StoreReply.Conflict) return Err(StoreFault("epoch $epoch was not sealed: $reply"))
+            sequence++
         }
     }
 
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onFailure
 import io.mimosatrail.core.id.Epoch
@@ -50,15 +50,10 @@
             .map { table -> table.owners.first { it.nonce == nonce }.epoch }
 
     /** Seals the journals of owners that are gone, takes free slots up to the owner's share and reads their claims. */
-    suspend fun takeOver(epoch: Epoch, served: Set<SlotId>): Result<SlotChange, StoreFault> {
-        val table = tables.read().getOrElse { return Err(it) }
-        if (table?.owner(epoch) == null) return Ok(SlotChange.Lost)
-        val gone = gone(table, epoch).getOrElse { return Err(it) }
-        gone.forEach { old -> journals.seal(old, self, nonces()).onFailure { return Err(it) } }
-        val changed = tables.update { it.orEmpty(table).takeOver(epoch, gone) }.getOrElse { return Err(it) }
-        if (changed.owner(epoch) == null) return Ok(SlotChange.Lost)
-        return load(changed, epoch, served)
-    }
+    suspend fun takeOver(epoch: Epoch, served: Set<SlotId>): Result<SlotChange, StoreFault> =
+        tables.read().andThen { table ->
+            if (table?.owner(epoch) == null) Ok(SlotChange.Lost) else takeOver(table, epoch, served)
+        }
 
     /** Ends [epoch] on purpose: seals its journal and frees its slots. */
     suspend fun retire(epoch: Epoch): Result<Unit, StoreFault> {
@@ -69,12 +64,26 @@
     }
 
     /** Deletes records written before [bound] from this owner's journal and from one sealed journal of [table]. */
-    suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> {
-        journals.trim(epoch, bound).onFailure { return Err(it) }
+    suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> =
+        journals.trim(epoch, bound).andThen { trimSealed(table, bound) }
+
+    private suspend fun trimSealed(table: SlotTable, bound: WallTime): Result<Unit, StoreFault> {
         val oldest = table.sealed.firstOrNull() ?: return Ok(Unit)
-        val isEmpty = journals.trim(oldest, bound).getOrElse { return Err(it) }
-        if (!isEmpty) return Ok(Unit)
-        return tables.update { it.orEmpty(table).forget(oldest) }.map { }
+        return journals.trim(oldest, bound).andThen { isEmpty ->
+            if (isEmpty) tables.update { it.orEmpty(table).forget(oldest) }.map { } else Ok(Unit)
+        }
+    }
+
+    private suspend fun takeOver(table: SlotTable, epoch: Epoch, served: Set<SlotId>): Result<SlotChange, StoreFault> =
+        gone(table, epoch)
+            .andThen { gone -> seal(gone).andThen { tables.update { it.orEmpty(table).takeOver(epoch, gone) } } }
+            .andThen { changed ->
+                if (changed.owner(epoch) == null) Ok(SlotChange.Lost) else load(changed, epoch, served)
+            }
+
+    private suspend fun seal(epochs: Set<Epoch>): Result<Unit, StoreFault> {
+        epochs.forEach { epoch -> journals.seal(epoch, self, nonces()).onFailure { return Err(it) } }
+        return Ok(Unit)
     }
 
     private fun SlotTable.with(nonce: WriterNonce): SlotTable =
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotTableStore.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotTableStore.kt
@@ -32,16 +32,15 @@
         repeat(UPDATE_ATTEMPTS) {
             val read = readRevision().getOrElse { return Err(it) }
             val changed = change(read.table)
-            if (changed == read.table) return Ok(changed)
-            when (val reply = store(StoreCommand.Put(keys.table, CallCodec.encode(changed), read.revision))) {
-                is StoreReply.Written -> return Ok(changed)
-                is StoreReply.NotDone -> return Err(StoreFault("the slot table was not written: ${reply.detail}"))
-                else -> Unit
-            }
+            if (changed == read.table || write(changed, read.revision)) return Ok(changed)
         }
         return Err(StoreFault("the slot table was not written in $UPDATE_ATTEMPTS attempts"))
     }
 
+    /** True where the write is known to stand. */
+    private suspend fun write(table: SlotTable, expected: StoreRevision): Boolean =
+        store(StoreCommand.Put(keys.table, CallCodec.encode(table), expected)) is StoreReply.Written
+
     private suspend fun readRevision(): Result<Read, StoreFault> {
         val reply = store(StoreCommand.Get(keys.table))
         if (reply !is StoreReply.Value) return Err(StoreFault("the slot table was not read: $reply"))
