--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
@@ -47,7 +47,7 @@
     private val timers = TimerService()
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val messages = MessageRouter()
-    private val store = budgetedStore(HttpStore(settings.store)::invoke, clock, meters)
+    private val store = budgetedStore(HttpStore(settings.store)::invoke, meters = meters, clock = clock)
     private val watcher = InstanceWatcher(HttpInstanceList(settings.instances), timers, scope)
     private val peers = PeerNode(
         settings = PeerSettings(settings.instance, settings.host, settings.peerPort, settings.peerSecrets),
