Join the parts: the whole path runs

Cause: entry, sidecars, stand-ins and the tool had not run together. Change: wiring compiled against the merged parts, one FinishReason, quieter library logs in the demo.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/demo/Demo.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/demo/Demo.kt
@@ -80,7 +80,8 @@
         mimosatrail().parse(listOf("ticket", "submit", "$root/$TICKET", "--store", fleet.store.url))
         val inForce = eventually { fleet.running.all { it.daemon.status().revision >= 1 } }
         report.check("the ticket is in force at every process", inForce)
-        val known = eventually { entries.all { it.daemon.status().upstreams.size == fleet.running.size - entries.size } }
+        val known =
+            eventually { entries.all { it.daemon.status().upstreams.size == fleet.running.size - entries.size } }
         report.check("both entries know every upstream", known)
     }
 
@@ -90,7 +91,11 @@
         var pieces = 0
         val answer = caller.stream(entries[0], PROMPT, SHORT_ANSWER, MODEL) { pieces++ }
         report.tell("\"${answer.text}\" in ${started.elapsedNow()}")
-        report.check("the stream ended with its finish event", answer.finished, answer.problem ?: "status ${answer.status}")
+        report.check(
+            "the stream ended with its finish event",
+            answer.finished,
+            answer.problem ?: "status ${answer.status}",
+        )
         report.check("the text came in pieces", pieces > SHORT_ANSWER / 2, "$pieces events")
         val expected = engines[0].toyModel.referenceText(PROMPT, SHORT_ANSWER)
         report.check("the answer is the model's reference answer, so every layer ran in order", answer.text == expected)
@@ -133,11 +138,10 @@
         report.check("the other entry goes on", other.finished)
     }
 
-    private suspend fun eventually(condition: () -> Boolean): Boolean =
-        withTimeoutOrNull(patience) {
-            while (!runCatching(condition).getOrDefault(false)) delay(poll)
-            true
-        } ?: false
+    private suspend fun eventually(condition: () -> Boolean): Boolean = withTimeoutOrNull(patience) {
+        while (!runCatching(condition).getOrDefault(false)) delay(poll)
+        true
+    } ?: false
 
     private class Sent(val status: Int, val body: String, val replayed: String?)
 }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/demo/DemoMain.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/demo/DemoMain.kt
@@ -8,7 +8,7 @@
 
 /** Runs the demo; exits 0 only if every check held. The argument is the repository's root. */
 fun main(arguments: Array<String>) {
-    setUpLogging(LogFormat.TEXT, LogLevel.WARN)
+    setUpLogging(LogFormat.TEXT, LogLevel.ERROR)
     val report = DemoReport(::println)
     try {
         runBlocking { Demo(report, arguments.firstOrNull() ?: ".").run() }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/demo/DemoReport.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/demo/DemoReport.kt
@@ -25,6 +25,12 @@
 
     fun summary() {
         print("")
-        if (allHeld) print("All $checks checks held.") else print("${failures.size} of $checks checks failed: $failures")
+        if (allHeld) {
+            print(
+                "All $checks checks held.",
+            )
+        } else {
+            print("${failures.size} of $checks checks failed: $failures")
+        }
     }
 }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Caller.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Caller.kt
@@ -13,8 +13,13 @@
     private val send: HttpHandler = http
 
     /** Asks for a streamed completion and reads it to its end, telling [onText] each piece of text. */
-    fun stream(entry: Member, prompt: String, maxTokens: Int, model: String, onText: (String) -> Unit = {}): StreamedAnswer =
-        stream(entry.url, prompt, maxTokens, model, onText)
+    fun stream(
+        entry: Member,
+        prompt: String,
+        maxTokens: Int,
+        model: String,
+        onText: (String) -> Unit = {},
+    ): StreamedAnswer = stream(entry.url, prompt, maxTokens, model, onText)
 
     /** Asks the entry at base URL [entry] for a streamed completion. */
     fun stream(entry: String, prompt: String, maxTokens: Int, model: String, onText: (String) -> Unit): StreamedAnswer {
--- a/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Fleet.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/Fleet.kt
@@ -82,28 +82,26 @@
         return member
     }
 
-    private fun settings(name: String, role: InstanceRole, upstream: UpstreamSettings?) =
-        DaemonSettings(
-            role = role,
-            instance = InstanceId(name),
-            place = PlaceId(place),
-            store = store.url,
-            instances = list.url,
-            peerSecrets = listOf(SECRET),
-            upstream = upstream,
-            drainNotice = drainNotice,
-        )
-
-    private fun row(member: Member, state: String) =
-        InstanceRow(
-            id = member.settings.instance.value,
-            role = member.settings.role.name.lowercase(),
-            place = member.settings.place.value,
-            address = member.addresses.peer.toRow(),
-            state = state,
-            service = member.settings.upstream?.service?.value,
-            adminAddress = member.addresses.admin.toRow(),
-        )
+    private fun settings(name: String, role: InstanceRole, upstream: UpstreamSettings?) = DaemonSettings(
+        role = role,
+        instance = InstanceId(name),
+        place = PlaceId(place),
+        store = store.url,
+        instances = list.url,
+        peerSecrets = listOf(SECRET),
+        upstream = upstream,
+        drainNotice = drainNotice,
+    )
+
+    private fun row(member: Member, state: String) = InstanceRow(
+        id = member.settings.instance.value,
+        role = member.settings.role.name.lowercase(),
+        place = member.settings.place.value,
+        address = member.addresses.peer.toRow(),
+        state = state,
+        service = member.settings.upstream?.service?.value,
+        adminAddress = member.addresses.admin.toRow(),
+    )
 
     private fun PeerAddress.toRow() = Address(host, port)
 }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/fleet/StreamedAnswer.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/StreamedAnswer.kt
@@ -21,7 +21,7 @@
     response.body.stream.bufferedReader().forEachLine { line ->
         when {
             line == "event: error" -> isError = true
-            line == "${DATA}[DONE]" -> finished = true
+            line == "$DATA[DONE]" -> finished = true
             line.startsWith(DATA) && isError -> problem = line.removePrefix(DATA)
             line.startsWith(DATA) -> textOf(line).let {
                 text.append(it)
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
@@ -103,16 +103,15 @@
     fun ready(): Boolean = !draining && follower.ready
 
     /** The state that operators see. */
-    fun status(): StatusPage =
-        StatusPage(
-            self = host.self,
-            ready = ready(),
-            draining = draining,
-            revision = follower.revision().value,
-            requestsInFlight = role.requestsInFlight,
-            upstreams = runBlocking { role.upstreams() },
-            instances = watcher.current(),
-        )
+    fun status(): StatusPage = StatusPage(
+        self = host.self,
+        ready = ready(),
+        draining = draining,
+        revision = follower.revision().value,
+        requestsInFlight = role.requestsInFlight,
+        upstreams = runBlocking { role.upstreams() },
+        instances = watcher.current(),
+    )
 
     private fun newHost(address: PeerAddress): Host {
         val self = InstanceEntry(
@@ -137,10 +136,9 @@
         )
     }
 
-    private fun addresses() =
-        DaemonAddresses(
-            peer = host.self.address,
-            admin = PeerAddress(settings.adminHost, admin.port()),
-            http = role.httpPort?.let { PeerAddress(settings.host, it) },
-        )
+    private fun addresses() = DaemonAddresses(
+        peer = host.self.address,
+        admin = PeerAddress(settings.adminHost, admin.port()),
+        http = role.httpPort?.let { PeerAddress(settings.host, it) },
+    )
 }
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/logging/LogSetup.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/logging/LogSetup.kt
@@ -24,9 +24,11 @@
     val root = loggers.getLogger(Logger.ROOT_LOGGER_NAME)
     root.level = Level.toLevel(level.name)
     root.addAppender(appender)
-    listOf("org.eclipse.jetty", "io.ktor", "org.http4k").forEach { loggers.getLogger(it).level = Level.WARN }
+    listOf("org.eclipse.jetty", "io.ktor", "org.http4k").forEach { loggers.getLogger(it).level = libraryLevel(level) }
 }
 
+private fun libraryLevel(level: LogLevel): Level = if (level == LogLevel.ERROR) Level.ERROR else Level.WARN
+
 private fun encoder(format: LogFormat, loggers: LoggerContext): EncoderBase<ILoggingEvent> = when (format) {
     LogFormat.JSON -> JsonEncoder().also { it.setWithContext(false) }
     LogFormat.TEXT -> PatternLayoutEncoder().also { it.pattern = TEXT_PATTERN }
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/role/EntryRole.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/role/EntryRole.kt
@@ -17,11 +17,7 @@
 import org.http4k.server.Http4kServer
 
 /** Admits callers' requests and routes them to sidecars. */
-internal class EntryRole(
-    private val host: Host,
-    private val settings: DaemonSettings,
-    ready: () -> Boolean,
-) : Role {
+internal class EntryRole(private val host: Host, private val settings: DaemonSettings, ready: () -> Boolean) : Role {
     private val directory = LiveDirectory(host)
     private val planner = ChainPlanner(directory, host)
     private val admission = Admission(host)
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/role/SidecarRole.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/role/SidecarRole.kt
@@ -38,15 +38,14 @@
 
     override fun close() = Unit
 
-    private suspend fun describe() =
-        UpstreamDescription(
-            instance = host.self.id,
-            place = host.self.place,
-            address = host.self.address,
-            service = upstream.service,
-            load = runner.load(),
-            engine = runner.engine(),
-        )
+    private suspend fun describe() = UpstreamDescription(
+        instance = host.self.id,
+        place = host.self.place,
+        address = host.self.address,
+        service = upstream.service,
+        load = runner.load(),
+        engine = runner.engine(),
+    )
 
     private fun engineRunner(stage: StageRunner) = Runner(stage, stage::start, stage::load, stage::describe)
 
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
@@ -2,7 +2,7 @@
 
 import com.github.michaelbull.result.Ok
 import io.kotest.core.spec.style.FunSpec
-import io.kotest.datatest.WithDataTestName
+import io.kotest.engine.names.WithDataTestName
 import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
@@ -29,6 +29,7 @@
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
 import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.pipeline.FinishReason
 import io.mimosatrail.core.store.StoreReply
 import io.mimosatrail.core.time.TimerService
 import io.mimosatrail.core.time.systemClock
@@ -38,7 +39,6 @@
 import io.mimosatrail.daemon.host.Host
 import io.mimosatrail.daemon.host.MessageRouter
 import io.mimosatrail.protocol.CallAnswer
-import io.mimosatrail.protocol.FinishReason
 import io.mimosatrail.protocol.PeerNode
 import io.mimosatrail.protocol.PeerSettings
 import kotlinx.coroutines.CoroutineScope
