--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigFollower.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigFollower.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.daemon.config
 
+import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.mimosatrail.core.config.Configuration
 import io.mimosatrail.core.id.ConfigRevision
@@ -14,9 +15,12 @@
 import io.mimosatrail.platform.ticket.ConfigKeys
 import io.mimosatrail.platform.ticket.LogError
 import io.mimosatrail.platform.ticket.TicketLog
+import io.mimosatrail.protocol.ConfigFetch
+import io.mimosatrail.protocol.ConfigState
 import io.mimosatrail.protocol.Peers
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -28,6 +32,8 @@
 private val log = KotlinLogging.logger("config")
 private val WATCH_WAIT = 20.seconds
 private val RETRY_DELAY = 500.milliseconds
+private val PEER_PERIOD = 1.seconds
+private val PEER_TIMEOUT = 2.seconds
 
 /** Keeps this process at the newest configuration; it only ever moves forward. */
 class ConfigFollower(
@@ -39,32 +45,45 @@
     private val scope: CoroutineScope,
     private val instances: () -> List<InstanceEntry>,
 ) {
+    private val history = ConfigHistory()
     private val ticketLog = TicketLog(store)
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
 
-    @Volatile
-    private var configuration = Configuration()
-
     /** True once the log was read to its end. */
     @Volatile
     var ready: Boolean = false
         private set
 
     /** What is in force in this process now. */
-    fun current(): Configuration = configuration
+    fun current(): Configuration = history.configuration
 
     /** Revision of [current]. */
-    fun revision(): ConfigRevision = configuration.revision
+    fun revision(): ConfigRevision = history.configuration.revision
 
-    /** Notes the revision carried by a message of [from]; reads the log where that is ahead. */
+    /** Notes the revision carried by a message of [from]; catches up where that is ahead. */
     fun onPeerRevision(from: InstanceId, revision: ConfigRevision) {
-        if (revision > configuration.revision) wakeUps.trySend(Unit)
+        if (revision <= revision()) return
+        val peer = instances().firstOrNull { it.id == from } ?: return
+        scope.launch { catchUpFrom(peer) }
     }
 
-    /** Starts following the log. */
+    /** Starts following the log and checking peers. */
     fun start() {
+        messages.on<ConfigFetch> { _, fetch -> history.stateAfter(fetch.after) }
         scope.launch { watch() }
-        scope.launch { for (wakeUp in wakeUps) catchUp() }
+        scope.launch { wakeUps.consumeEach { catchUp() } }
+        timers.every("config peer", PEER_PERIOD) { checkRandomPeer() }
+    }
+
+    private fun checkRandomPeer() {
+        val peer = instances().filter { it.id != self.id }.randomOrNull() ?: return
+        scope.launch { catchUpFrom(peer) }
+    }
+
+    private suspend fun catchUpFrom(peer: InstanceEntry) {
+        peers.ask(peer.address, ConfigFetch(revision()), PEER_TIMEOUT).onSuccess { answer ->
+            if (answer is ConfigState && history.advance(answer)) inForce("from ${peer.id}")
+        }
     }
 
     private suspend fun watch() {
@@ -83,16 +102,17 @@
     }
 
     private suspend fun catchUp() {
-        val read = ticketLog.read(configuration)
-        if (read.configuration.revision > configuration.revision) {
-            configuration = read.configuration
-            log.info { "config: revision ${configuration.revision} is in force" }
-        }
+        val read = ticketLog.read(history.configuration)
+        if (history.advance(read.configuration, read.records)) inForce("from the store")
         read.error?.let { retry(it) } ?: run { ready = true }
     }
 
+    private fun inForce(source: String) {
+        log.info { "config: revision ${revision()} is in force, $source" }
+    }
+
     private suspend fun retry(error: LogError) {
-        log.warn { "config: revision ${configuration.revision} stays, the log can't be read on: $error" }
+        log.warn { "config: revision ${revision()} stays, the log can't be read on: $error" }
         delay(RETRY_DELAY * (1 + Random.nextDouble()))
         wakeUps.trySend(Unit)
     }
