--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigHistory.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigHistory.kt
@@ -23,8 +23,9 @@
     @Synchronized
     fun advance(next: Configuration, steps: List<ConfigRecord>): Boolean {
         if (next.revision <= configuration.revision) return false
-        if (steps.firstOrNull()?.revision != configuration.revision.next()) records.clear()
-        records += steps
+        val fresh = steps.filter { it.revision > configuration.revision }
+        if (fresh.firstOrNull()?.revision != configuration.revision.next()) records.clear()
+        records += fresh
         while (records.size > MAX_RECORDS) records.removeFirst()
         configuration = next
         return true
@@ -44,14 +45,19 @@
     }
 
     /** Takes what a peer sent; false where it is unusable or not newer. */
-    fun advance(state: ConfigState): Boolean {
-        if (state.shards.isNotEmpty()) {
-            val whole = SnapshotCodec.decode(state.revision, state.shards).getOrElse { return false }
-            return advance(whole, emptyList())
-        }
-        val steps = state.records.map { bytes -> RecordCodec.decode(bytes).getOrElse { return false } }
-            .filter { it.revision > configuration.revision }
-        val next = configuration.follow(steps).getOrElse { return false }
-        return advance(next, steps)
+    fun advance(state: ConfigState): Boolean =
+        if (state.shards.isEmpty()) advanceBySteps(state.records) else advanceByWhole(state)
+
+    private fun advanceByWhole(state: ConfigState): Boolean {
+        val whole = SnapshotCodec.decode(state.revision, state.shards).getOrElse { return false }
+        return advance(whole, emptyList())
+    }
+
+    private fun advanceBySteps(records: List<ByteArray>): Boolean {
+        val known = configuration
+        val steps = records.map { bytes -> RecordCodec.decode(bytes).getOrElse { return false } }
+        val fresh = steps.filter { it.revision > known.revision }
+        val next = known.follow(fresh).getOrElse { return false }
+        return advance(next, fresh)
     }
 }
