Carry tokens through chains of stages and recover from lost stages

Cause: there was no token path; an answer has to survive stages that die, slow down or fall silent without a token lost, doubled or swapped.

Change: StageTable (sidecar) and StreamTable (entry) decide on virtual time what runs, repeats or is refused; generations, trails and positions are checked at each stage and at the entry. StageRunner, StreamRouter and HttpEngineClient run the tables over peers and engines. The stream messages moved to core, so that the tables need no second copy of them; PeerNodeTest sends StageCancel in an envelope where it sent CancelStream, as strict.

--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
@@ -0,0 +1,38 @@
+package io.mimosatrail.core.pipeline
+
+import io.mimosatrail.core.id.Generation
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.time.Moment
+import kotlin.time.Duration
+
+/** One request at its entry. */
+internal class ActiveStream(val spec: StreamSpec, firstChain: Chain, now: Moment) {
+    var generation = Generation(0)
+    var chain = firstChain
+    val delivered = mutableListOf<Int>()
+    val excluded = mutableSetOf<InstanceId>()
+    var recoveries = 0
+
+    /** False once a generation ended that may have run anything. */
+    var unrun = true
+
+    /** Time of the last token, or of the start of the generation. */
+    var progressAt = now
+    var awaitsFirst = true
+    var probe: ActiveProbe? = null
+
+    /** True where the chain was resumed unchanged since the last token. */
+    var resumed = false
+    var replaceable = true
+    val interToken = MovingMean(Duration.ZERO)
+
+    /** Positions that a new chain has to run for the next token. */
+    val positions: Int get() = spec.prompt.size + delivered.size
+
+    fun stage(instance: InstanceId): Stage? = chain.stages.firstOrNull { it.instance == instance }
+}
+
+/** Probes sent to the stages of a silent stream. */
+internal class ActiveProbe(val at: Moment) {
+    val answers = HashMap<InstanceId, StageProgress>()
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/GenerationOpener.kt
@@ -0,0 +1,78 @@
+package io.mimosatrail.core.pipeline
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.time.Moment
+
+/** Builds the messages that an entry sends to the stages of a stream. */
+internal class GenerationOpener(private val self: InstanceId, private val address: PeerAddress) {
+    /** The first frame of a new chain: the prompt and the delivered tokens. */
+    fun reroute(stream: ActiveStream, now: Moment): StreamEffect {
+        val tokens = stream.spec.prompt + stream.delivered
+        return frame(stream, 0, tokens, route(stream, null, now), null)
+    }
+
+    /** Starts the next generation by [plan]. */
+    fun carryOn(stream: ActiveStream, plan: RecoveryPlan, now: Moment): List<StreamEffect> {
+        val left = stream.chain.stages.filter { old -> plan.chain.stages.none { it.instance == old.instance } }
+        val cancelled = cancels(stream, left)
+        stream.generation = stream.generation.next()
+        stream.chain = plan.chain
+        stream.progressAt = now
+        stream.awaitsFirst = true
+        return cancelled + firstFrame(stream, plan, now)
+    }
+
+    fun cancels(stream: ActiveStream, stages: List<Stage>): List<StreamEffect> =
+        stages.map { StreamEffect.Send(it, StageCancel(stream.spec.id, stream.generation)) }
+
+    fun probes(stream: ActiveStream): List<StreamEffect> =
+        stream.chain.stages.map { StreamEffect.Send(it, StageProbe(stream.spec.id, stream.generation, address)) }
+
+    private fun firstFrame(stream: ActiveStream, plan: RecoveryPlan, now: Moment): StreamEffect {
+        stream.resumed = plan.way == RecoveryWay.RESUME
+        if (plan.way == RecoveryWay.REROUTE) {
+            stream.replaceable = true
+            return reroute(stream, now)
+        }
+        val last = stream.positions - 1
+        val restoresFirst = plan.restoring == stream.chain.first.instance
+        val earlier = (stream.spec.prompt + stream.delivered).take(last)
+        val restore = RestoredState(null, earlier.toTokenBytes()).takeIf { restoresFirst }
+        return frame(stream, last, listOf(stream.delivered.last()), route(stream, plan.restoring, now), restore)
+    }
+
+    private fun frame(
+        stream: ActiveStream,
+        position: Int,
+        tokens: List<Int>,
+        route: Route,
+        restore: RestoredState?,
+    ): StreamEffect {
+        val frame = Frame(
+            stream.spec.id,
+            stream.generation,
+            stream.delivered.size,
+            0,
+            position,
+            tokens.size,
+            tokens.toTokenBytes(),
+            emptyList(),
+            route,
+            restore,
+        )
+        return StreamEffect.Send(stream.chain.first, frame)
+    }
+
+    private fun route(stream: ActiveStream, restoring: InstanceId?, now: Moment) = Route(
+        self,
+        address,
+        stream.chain,
+        stream.spec.pool.layers,
+        stream.spec.prompt.size,
+        stream.spec.maxTokens,
+        stream.spec.priority,
+        (stream.spec.deadline - now).inWholeMilliseconds,
+        restoring,
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamSettings.kt
@@ -0,0 +1,22 @@
+package io.mimosatrail.core.pipeline
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of the streams of an entry.
+ *
+ * A stream without a token for [suspectFactor] times its inter-token time, at least [suspectFloor], has its stages
+ * probed; the answers are weighed after [probeWait]. Before the first token of a generation [prefillFloor] and the
+ * predicted prefill time take their place. [prefillPerPosition] is the prediction before anything was observed.
+ */
+class StreamSettings(
+    val suspectFactor: Int = 4,
+    val suspectFloor: Duration = 150.milliseconds,
+    val probeWait: Duration = 100.milliseconds,
+    val prefillFloor: Duration = 500.milliseconds,
+    val prefillPerPosition: Duration = 1.milliseconds,
+    val maxRecoveries: Int = 8,
+    val aliveEvery: Duration = 2.seconds,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/stream/StreamRouter.kt
@@ -0,0 +1,158 @@
+package io.mimosatrail.daemon.entry.stream
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.mimosatrail.core.id.RequestId
+import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.outcome.RefusalReason
+import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.pipeline.InvariantViolation
+import io.mimosatrail.core.pipeline.StreamEffect
+import io.mimosatrail.core.pipeline.StreamSettings
+import io.mimosatrail.core.pipeline.StreamSpec
+import io.mimosatrail.core.pipeline.StreamTable
+import io.mimosatrail.core.pipeline.observedForecast
+import io.mimosatrail.core.routing.ChainChooser
+import io.mimosatrail.core.routing.StageChooser
+import io.mimosatrail.daemon.entry.directory.Directory
+import io.mimosatrail.daemon.host.Drainable
+import io.mimosatrail.daemon.host.Host
+import io.mimosatrail.daemon.outbox.StreamOutbox
+import io.mimosatrail.protocol.EntryAlive
+import io.mimosatrail.protocol.StreamEnvelope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.flow
+import kotlin.time.Duration.Companion.milliseconds
+
+private val log = KotlinLogging.logger("streams")
+private val tickPeriod = 20.milliseconds
+
+/** Runs model requests over chains of stages and gives each caller its own tokens, once and in order. */
+class StreamRouter(
+    private val host: Host,
+    chooseChain: ChainChooser,
+    chooseStage: StageChooser,
+    private val directory: Directory,
+) : Drainable {
+    private val lock = Any()
+    private val callers = HashMap<RequestId, Channel<StreamEvent>>()
+    private val open = MutableStateFlow(0)
+    private val violations = host.meters.counter("mimosatrail.stream.violations")
+    private val outbox = StreamOutbox(host) { outgoing, _ -> onUnsent(outgoing) }
+    private val table = StreamTable(
+        host.self.id,
+        host.self.address,
+        StreamSettings(),
+        chooseChain,
+        chooseStage,
+        observedForecast,
+        ::onViolation,
+    )
+
+    @Volatile
+    private var draining = false
+
+    /** Takes the messages of stages and checks open streams from now on. */
+    fun start() {
+        host.messages.on<StreamEnvelope> { _, envelope ->
+            apply { table.onMessage(envelope.message, host.clock()) }
+            null
+        }
+        host.timers.every("streams", tickPeriod) { now -> apply { table.onTick(now) } }
+        host.meters.gauge("mimosatrail.streams.open", open) { it.value.toDouble() }
+    }
+
+    /** Runs [request] while the flow is collected; ending the collection cancels it at every stage. */
+    fun open(request: ModelRequest): Flow<StreamEvent> = flow {
+        if (draining) return@flow emit(StreamEvent.Failed(drainingRefusal()))
+        val events = Channel<StreamEvent>(Channel.UNLIMITED)
+        if (!enter(request, events)) return@flow emit(StreamEvent.Failed(duplicateRefusal(request.id)))
+        try {
+            for (event in events) emit(event)
+        } finally {
+            leave(request.id, events)
+        }
+    }
+
+    override fun startDraining() {
+        draining = true
+    }
+
+    override suspend fun awaitDrained() {
+        open.first { it == 0 }
+    }
+
+    private fun enter(request: ModelRequest, events: Channel<StreamEvent>): Boolean {
+        synchronized(lock) {
+            if (callers.putIfAbsent(request.id, events) != null) return false
+            open.value = callers.size
+        }
+        apply { table.open(specOf(request), host.clock()) }
+        return true
+    }
+
+    private fun leave(request: RequestId, events: Channel<StreamEvent>) {
+        apply { table.cancel(request) }
+        synchronized(lock) {
+            callers.remove(request, events)
+            open.value = callers.size
+        }
+    }
+
+    private fun specOf(request: ModelRequest) = StreamSpec(
+        request.id,
+        request.pool,
+        request.prompt,
+        request.maxTokens,
+        request.priority,
+        request.deadline,
+    )
+
+    private fun onUnsent(outgoing: StreamOutbox.Outgoing) {
+        val message = (outgoing.message as? StreamEnvelope)?.message ?: return
+        apply { table.onUnsent(outgoing.to, message, host.clock()) }
+    }
+
+    private fun apply(event: () -> List<StreamEffect>) {
+        synchronized(lock) { event().forEach { perform(it) } }
+    }
+
+    private fun perform(effect: StreamEffect) {
+        when (effect) {
+            is StreamEffect.Send -> outbox.send(effect.to.address, StreamEnvelope(effect.message))
+            is StreamEffect.KeepAlive -> outbox.send(effect.to.address, EntryAlive)
+            is StreamEffect.Deliver -> callers[effect.request]?.trySend(StreamEvent.Token(effect.index, effect.token))
+            is StreamEffect.Finish -> end(effect.request, StreamEvent.Finished(effect.reason))
+            is StreamEffect.Fail -> end(effect.request, StreamEvent.Failed(effect.refusal))
+            is StreamEffect.Loaded -> directory.onLoad(effect.instance, effect.load)
+            is StreamEffect.Refused -> directory.onRefused(effect.instance, effect.reason)
+            is StreamEffect.Lost -> directory.onLost(effect.instance)
+            is StreamEffect.Recovering -> onRecovering(effect)
+        }
+    }
+
+    private fun end(request: RequestId, event: StreamEvent) {
+        val events = callers[request] ?: return
+        events.trySend(event)
+        events.close()
+    }
+
+    private fun onRecovering(effect: StreamEffect.Recovering) {
+        host.meters.counter("mimosatrail.stream.recoveries", "way", effect.way.name.lowercase()).increment()
+        log.info { "streams: ${effect.request} carries on by ${effect.way.name.lowercase()}" }
+    }
+
+    private fun onViolation(violation: InvariantViolation) {
+        violations.increment()
+        log.error { "streams: ${violation.request} refused: ${violation.detail} at ${violation.peer}" }
+    }
+
+    private fun drainingRefusal() =
+        Refusal(Outcome.NOT_RUN, RefusalReason.DRAINING, Step.ADMIT, host.self.id, "the entry is leaving", 0)
+
+    private fun duplicateRefusal(id: RequestId) =
+        Refusal(Outcome.NOT_RUN, RefusalReason.CONFLICT, Step.ADMIT, host.self.id, "request $id is already open")
+}
--- a/protocol/src/test/kotlin/io/mimosatrail/protocol/PeerNodeTest.kt
+++ b/protocol/src/test/kotlin/io/mimosatrail/protocol/PeerNodeTest.kt
@@ -11,6 +11,7 @@
 import io.mimosatrail.core.id.Generation
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.RequestId
+import io.mimosatrail.core.pipeline.StageCancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import java.io.ByteArrayOutputStream
@@ -55,14 +56,14 @@
             val received = Channel<Int>(1_000)
             val server = node("server") { _, message ->
                 when (message) {
-                    is CancelStream -> received.send(message.generation.value).let { null }
+                    is StreamEnvelope -> received.send(message.message.generation.value).let { null }
                     is RevisionNotice -> RevisionNotice(message.revision.next())
                     else -> null
                 }
             }
             val client = node("client")
             val address = server.listen()
-            repeat(500) { client.send(address, CancelStream(RequestId("r"), Generation(it))) }
+            repeat(500) { client.send(address, StreamEnvelope(StageCancel(RequestId("r"), Generation(it)))) }
             (0 until 500).map { received.receive() } shouldBe (0 until 500).toList()
             client.ask(address, RevisionNotice(ConfigRevision(4)), 5.seconds).get() shouldBe
                 RevisionNotice(ConfigRevision(5))
