--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageTable.kt
@@ -141,16 +141,23 @@
         return accept(known, frame, now)
     }
 
-    private fun accept(sequence: StageSequence, frame: Frame, now: Moment): List<StageEffect> {
-        if (frame.count <= 0 || frame.input.isEmpty() || frame.input.size % frame.count != 0) {
-            return violate(sequence.route, frame, "the frame's input does not match its positions")
-        }
-        if (checks.trail && !isNext(sequence, frame)) {
-            return violate(sequence.route, frame, "the frame's trail does not end at this stage")
-        }
+    private fun accept(sequence: StageSequence, frame: Frame, now: Moment): List<StageEffect> = when {
+        !frame.isWellFormed() ->
+            violate(sequence.route, frame, "the frame's input does not match its positions")
+        checks.trail && !frame.leadsTo(sequence.stage.layers) ->
+            violate(sequence.route, frame, "the frame's trail does not end at this stage")
+        else -> place(sequence, frame, now)
+    }
+
+    /** Decides whether [frame] waits for the current work, repeats the last, runs, or doesn't fit. */
+    private fun place(sequence: StageSequence, frame: Frame, now: Moment): List<StageEffect> {
         val running = sequence.running
         return when {
-            running != null && running.index == frame.index -> emptyList<StageEffect>().also { sequence.wanted = frame }
+            running != null && running.index == frame.index -> {
+                sequence.wanted = frame
+                emptyList()
+            }
+
             running != null -> mismatch(sequence, frame)
             frame.index == sequence.lastIndex && checks.duplicates -> repeat(sequence, frame, now)
             frame.restore == null && frame.position > sequence.held -> mismatch(sequence, frame)
@@ -159,9 +166,6 @@
         }
     }
 
-    private fun isNext(sequence: StageSequence, frame: Frame) =
-        frame.nextLayer == sequence.stage.layers.first && frame.trail.covers(frame.nextLayer)
-
     /** Answers the last index again from the kept output, once a generation. */
     private fun repeat(sequence: StageSequence, frame: Frame, now: Moment): List<StageEffect> {
         if (sequence.emittedIndex == frame.index) return emptyList()
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamMessage.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamMessage.kt
@@ -39,6 +39,12 @@
 ) : StreamMessage {
     /** Position after the last one of this frame. */
     val end: Int get() = position + count
+
+    /** True where [input] holds the same number of bytes for each position. */
+    fun isWellFormed(): Boolean = count > 0 && input.isNotEmpty() && input.size % count == 0
+
+    /** True where a stage that holds [layers] is the next to run. */
+    fun leadsTo(layers: LayerRange): Boolean = nextLayer == layers.first && trail.covers(nextLayer)
 }
 
 /** A token from the last stage, to the first stage and to the entry. [finish] is null while more follow. */
--- a/upstream/src/main/kotlin/io/mimosatrail/upstream/HttpEngineClient.kt
+++ b/upstream/src/main/kotlin/io/mimosatrail/upstream/HttpEngineClient.kt
@@ -64,7 +64,7 @@
         return checked(response)
     }
 
-    /** Only an error with a body is the engine's own answer; the client makes others itself when a connection breaks. */
+    /** Only an error with a body is the engine's own answer; the client makes others when a connection breaks. */
     private fun checked(response: Response): Result<Response, UpstreamError> {
         val status = response.status
         val detail = "${status.code} ${status.description}"
