--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
@@ -27,9 +27,12 @@
     val command = DaemonCommand(::serve)
     try {
         command.parse(arguments)
+    } catch (e: UsageError) {
+        command.echoFormattedHelp(e)
+        exitProcess(EXIT_USAGE)
     } catch (e: CliktError) {
         command.echoFormattedHelp(e)
-        exitProcess(if (e is UsageError) EXIT_USAGE else e.statusCode)
+        exitProcess(e.statusCode)
     }
 }
 
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
@@ -2,8 +2,8 @@
 
 import com.github.michaelbull.result.Ok
 import io.kotest.core.spec.style.FunSpec
-import io.kotest.engine.names.WithDataTestName
 import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/settings/SettingsCheckTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/settings/SettingsCheckTest.kt
@@ -3,8 +3,8 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.FunSpec
-import io.kotest.engine.names.WithDataTestName
 import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldNotContain
