Measure throughput and routing in virtual time over the real policies

Cause: no figure told how near to the bound the router comes.

Change: bin/bench throughput and routing, a small model of batching runners of six kinds and links a hundredfold apart, with the tables and policies of core unchanged; round robin, least connections and random plug in as samplers and scores of the same chain search.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,4 +1,10 @@
 package io.mimosatrail.bench.run
 
+import io.mimosatrail.bench.routing.routingBench
+import io.mimosatrail.bench.throughput.throughputBench
+
 /** Every benchmark, in the order of the help page. */
-internal val allBenches: List<Bench> = emptyList()
+internal val allBenches: List<Bench> = listOf(
+    throughputBench,
+    routingBench,
+)
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
@@ -14,9 +14,10 @@
 /** Chooses chains over the rows of [table]. Not thread-safe. */
 class ChainRouter(
     private val table: UpstreamTable,
-    private val random: Random,
+    random: Random,
     private val link: LinkCost = placeDistance,
     private val score: UpstreamScore = ::predictedTime,
+    private val sampler: GroupSampler = { group, _ -> twoAtRandom(group.members, random) },
 ) {
     /** A chain that covers the layers of the request's pool, or null where none can. */
     fun chooseChain(request: ChainRequest, now: Moment): Chain? {
@@ -38,7 +39,7 @@
         layerGroups(table.serving(request.pool.id, now).filter { it.id !in request.excluded }, request.pool)
 
     private fun candidates(group: LayerGroup, now: Moment): List<StageCandidate> =
-        twoAtRandom(group.members, random).map { StageCandidate(it, group, score(it, now)) }
+        sampler(group, now).map { StageCandidate(it, group, score(it, now)) }
 
     private fun joinFor(pool: ModelPool): CostJoin = when (pool.preference) {
         PoolPreference.THROUGHPUT -> slowestPart
@@ -54,11 +55,14 @@
 
 private fun UpstreamRow.holds(pool: ModelPool): Boolean {
     val engine = description?.engine ?: return false
-    return engine.model == pool.model && engine.version == pool.version && engine.modelLayers == pool.layers &&
+    return engine.model == pool.model &&
+        engine.version == pool.version &&
+        engine.modelLayers == pool.layers &&
         engine.adapters.containsAll(pool.adapters)
 }
 
-private fun twoAtRandom(members: List<UpstreamRow>, random: Random): List<UpstreamRow> {
+/** Two of [members] at random, or all where there are no more. */
+fun twoAtRandom(members: List<UpstreamRow>, random: Random): List<UpstreamRow> {
     if (members.size <= 2) return members
     val first = random.nextInt(members.size)
     val second = (first + 1 + random.nextInt(members.size - 1)) % members.size
