--- a/cli/src/main/kotlin/io/mimosatrail/cli/Main.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/Main.kt
@@ -10,6 +10,10 @@
 import io.mimosatrail.cli.run.MimosatrailCommand
 import io.mimosatrail.cli.ticket.TicketCheckCommand
 import io.mimosatrail.cli.ticket.TicketCommand
+import io.mimosatrail.cli.ticket.TicketDiffCommand
+import io.mimosatrail.cli.ticket.TicketListCommand
+import io.mimosatrail.cli.ticket.TicketShowCommand
+import io.mimosatrail.cli.ticket.TicketStatusCommand
 import io.mimosatrail.cli.ticket.TicketSubmitCommand
 import kotlin.system.exitProcess
 
@@ -17,15 +21,19 @@
 fun mimosatrail(): MimosatrailCommand = MimosatrailCommand().subcommands(
     TicketCommand().subcommands(
         TicketCheckCommand(),
+        TicketDiffCommand(),
         TicketSubmitCommand(),
+        TicketStatusCommand(),
+        TicketListCommand(),
+        TicketShowCommand(),
     ),
     KeyCommand().subcommands(KeyHashCommand()),
 )
 
-/** Runs the tool and ends the process with one of [ExitCode]. */
-fun main(arguments: Array<String>) {
+/** Runs the tool and answers the exit code, one of [ExitCode]. */
+internal fun runTool(arguments: Array<String>): Int {
     val command = mimosatrail()
-    val code = try {
+    return try {
         command.parse(arguments)
         ExitCode.OK.code
     } catch (e: UsageError) {
@@ -35,5 +43,9 @@
         command.echoFormattedHelp(e)
         e.statusCode
     }
-    exitProcess(code)
+}
+
+/** Runs the tool and ends the process. */
+fun main(arguments: Array<String>) {
+    exitProcess(runTool(arguments))
 }
--- a/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketSubmitCommand.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketSubmitCommand.kt
@@ -2,43 +2,89 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.path
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.mimosatrail.cli.run.ExitCode
+import io.mimosatrail.cli.run.InstanceOptions
+import io.mimosatrail.cli.run.OutputOption
 import io.mimosatrail.cli.run.StoreOptions
 import io.mimosatrail.cli.run.fail
 import io.mimosatrail.core.config.TicketRefusal
+import io.mimosatrail.core.id.ConfigRevision
+import io.mimosatrail.core.id.TicketNumber
 import io.mimosatrail.platform.ticket.AcceptedTicket
 import io.mimosatrail.platform.ticket.SubmitError
 import io.mimosatrail.platform.ticket.TicketDocument
 import io.mimosatrail.platform.ticket.TicketSubmitter
 import io.mimosatrail.platform.ticket.submissionIdOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Bound within which a change is in force everywhere. */
+private val SPREAD_BOUND = 5.seconds
+private val SPREAD_PERIOD = 500.milliseconds
+
+/** An accepted ticket, and where it is in force if that was asked for. */
+@Serializable
+private data class SubmittedTicket(
+    val ticket: TicketNumber,
+    val revision: ConfigRevision,
+    val repeated: Boolean,
+    val spread: Spread?,
+) {
+    fun describe(): String {
+        val how = if (repeated) "was accepted before" else "is accepted"
+        return listOfNotNull("ticket $ticket $how, revision $revision", spread?.describe()).joinToString("\n")
+    }
+}
 
 /** Submits a ticket. */
 internal class TicketSubmitCommand : CliktCommand(name = "submit") {
     private val file by argument(help = "ticket to submit").path(mustExist = true, canBeDir = false)
     private val author by option("--author", envvar = "USER", help = "who submits").default("unknown")
+    private val wait by option("--wait", help = "wait up to 5 s until the ticket is in force everywhere").flag()
     private val platform by StoreOptions()
+    private val instances by InstanceOptions()
+    private val output by OutputOption()
 
     override fun help(context: Context) =
         "Submits a ticket. Submitting the same file again is harmless, also after a lost answer."
 
     override fun run() {
+        val instancesUrl = if (wait) instances.required() else null
         val document = readTicket(file)
         val result = platform.withStore { store ->
             TicketSubmitter(store, author).submit(document.ticket, submissionIdOf(document.ticket))
         }
-        result.onSuccess { report(document, it) }.onFailure { refuse(document, it) }
+        result.onSuccess { report(document, it, instancesUrl) }.onFailure { refuse(document, it) }
     }
 
-    private fun report(document: TicketDocument, accepted: AcceptedTicket) {
-        val how = if (accepted.repeated) "was accepted before" else "is accepted"
-        echo("ticket ${document.ticket.number} $how, revision ${accepted.revision}")
+    private fun report(document: TicketDocument, accepted: AcceptedTicket, instancesUrl: String?) {
+        val spread = instancesUrl?.let { runBlocking { awaitSpread(accepted.revision, it) } }
+        val submitted = SubmittedTicket(document.ticket.number, accepted.revision, accepted.repeated, spread)
+        output.print(this, SubmittedTicket.serializer(), submitted) { it.describe() }
+        if (spread?.everywhere == false) throw ProgramResult(ExitCode.UNAVAILABLE.code)
+    }
+
+    private suspend fun awaitSpread(revision: ConfigRevision, instancesUrl: String): Spread {
+        val start = TimeSource.Monotonic.markNow()
+        while (true) {
+            val spread = askSpread(revision, instancesUrl)
+            if (spread.everywhere || start.elapsedNow() > SPREAD_BOUND) return spread
+            echo(spread.summary(), err = true)
+            delay(SPREAD_PERIOD)
+        }
     }
 
     private fun refuse(document: TicketDocument, error: SubmitError): Nothing {
