--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/CapacityBench.kt
@@ -0,0 +1,23 @@
+package io.mimosatrail.bench.capacity
+
+import io.mimosatrail.bench.run.Bench
+import io.mimosatrail.bench.run.Figure
+import io.mimosatrail.daemon.logging.LogFormat
+import io.mimosatrail.daemon.logging.LogLevel
+import io.mimosatrail.daemon.logging.setUpLogging
+
+/** Slopes from which docs/CAPACITY.md works out each role's cost at the size that the system is designed for. */
+internal val capacityBench =
+    Bench("capacity", "cost of each role against its sizes, as slopes with their fit") { options ->
+        setUpLogging(LogFormat.TEXT, LogLevel.ERROR)
+        val series = frameSeries(options.quick) +
+            streamSeries() +
+            directorySeries(options.quick, options.seed) +
+            configurationSeries(options.quick) +
+            listSeries() +
+            journalSeries(options.quick) +
+            linkSeries(options.quick) +
+            idleSeries(options.quick)
+        val slopes = series.flatMap { it.measure(options.seed) }
+        slopes + Figure("capacity", "describe exchange", "bytes", describeBytes(), seed = options.seed)
+    }
--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/Series.kt
@@ -0,0 +1,30 @@
+package io.mimosatrail.bench.capacity
+
+import io.mimosatrail.bench.run.Figure
+
+/** Cost against one size: [cost] in [unit] at each of [sizes], counted in [per], after [warmUps] unmeasured runs. */
+internal class Series(
+    val name: String,
+    val unit: String,
+    val per: String,
+    val sizes: List<Int>,
+    val warmUps: Int = 0,
+    val cost: (Int) -> Double,
+) {
+    /** Measures every point; answers the line's slope, its base and its fit. */
+    fun measure(seed: Long): List<Figure> {
+        repeat(warmUps) { cost(sizes.last()) }
+        val points = sizes.map { Point(it.toDouble(), cost(it)) }
+        val told = points.joinToString { "%.0f: %.3f".format(it.x, it.y) }
+        println("$name, $unit by $per: $told")
+        val line = points.fit()
+        return listOf(
+            figure("$name per $per", unit, line.perUnit, seed),
+            figure("$name, base", unit, line.base, seed),
+            figure("$name, fit", "R2", line.r2, seed),
+        )
+    }
+
+    private fun figure(label: String, unit: String, value: Double, seed: Long) =
+        Figure(bench = "capacity", figure = label, unit = unit, value = value, seed = seed)
+}
