--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Scenario.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Scenario.kt
@@ -41,6 +41,14 @@
     val endLayer: Int get() = layers.substringAfter('-').toInt()
 }
 
-/** A plain service of several instances over the same records, with one sidecar for each. */
+/**
+ * A plain service of several instances over the same records, with one sidecar for each; those of [spares] start by a
+ * step.
+ */
 @Serializable
-data class ApplicationSpec(val name: String, val service: String, val sidecars: List<String>)
+data class ApplicationSpec(
+    val name: String,
+    val service: String,
+    val sidecars: List<String>,
+    val spares: List<String> = emptyList(),
+)
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioStep.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioStep.kt
@@ -58,11 +58,6 @@
     @SerialName("await-stopped")
     data class AwaitStopped(val instance: String) : ScenarioStep
 
-    /** Waits until the process, which stops, takes no new work. */
-    @Serializable
-    @SerialName("await-draining")
-    data class AwaitDraining(val instance: String) : ScenarioStep
-
     /** Waits for the end of request [of], which must be one of [outcome]. */
     @Serializable
     @SerialName("expect")
@@ -78,6 +73,16 @@
     @SerialName("expect-sequences")
     data class ExpectSequences(val at: String, val count: Int) : ScenarioStep
 
+    /** Exactly one of [of] must have ended with [outcome]. */
+    @Serializable
+    @SerialName("expect-one")
+    data class ExpectOne(val of: List<String>, val outcome: ToldOutcome) : ScenarioStep
+
+    /** Starts a spare sidecar of an application. */
+    @Serializable
+    @SerialName("start")
+    data class Start(val instance: String) : ScenarioStep
+
     /** Starts a planned stop. */
     @Serializable
     @SerialName("stop")
@@ -88,6 +93,16 @@
     @SerialName("kill")
     data class Kill(val instance: String) : ScenarioStep
 
+    /** Ends at once the runner among these that ran the most. */
+    @Serializable
+    @SerialName("kill-busy")
+    data class KillBusy(val among: List<String>) : ScenarioStep
+
+    /** Freezes the engine that ran the most among these; its connections stay open. */
+    @Serializable
+    @SerialName("freeze-busy")
+    data class FreezeBusy(val among: List<String>) : ScenarioStep
+
     /** The platform marks the instance as leaving in its list. */
     @Serializable
     @SerialName("mark-leaving")
--- a/standins/src/main/kotlin/io/mimosatrail/standins/plain/PlainRecord.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/plain/PlainRecord.kt
@@ -6,8 +6,9 @@
 @Serializable
 data class PlainRecord(val id: Long, val collection: String, val key: String?, val body: String)
 
+/** Every record made, in order. */
 @Serializable
-internal data class RecordsBody(val records: List<PlainRecord>)
+data class RecordsBody(val records: List<PlainRecord>)
 
 @Serializable
 internal data class CreatedBody(val id: Long)
