--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
@@ -20,6 +20,7 @@
 /** Longest wait of one step; only a failed story waits this long. */
 private val patience = 60.seconds
 private val poll = 10.milliseconds
+private val resend = 500.milliseconds
 
 /** A step whose expectation did not hold. */
 class StepFailed(step: ScenarioStep, seen: String) : AssertionError("$step: $seen")
@@ -67,7 +68,7 @@
         when (step) {
             is ScenarioStep.Submit -> track(step.name) { desk.submit(step.ticket) }
             is ScenarioStep.Ask -> ask(step)
-            is ScenarioStep.Report -> track(step.name) { requests.report(world.member(step.at).url, step) }
+            is ScenarioStep.Report -> track(step.name) { report(step) }
             is ScenarioStep.LookUp -> track(step.name) { requests.lookUp(world.member(step.at).url, step) }
             is ScenarioStep.AwaitTokens -> await(step) { request(step.of).tokens.get() >= step.count }
             is ScenarioStep.AwaitRecords -> await(step) { world.application(step.at).records.size >= step.count }
@@ -106,6 +107,16 @@
         tracked[step.name] = TrackedRequest(told, tokens)
     }
 
+    private suspend fun report(step: ScenarioStep.Report): Told {
+        val entry = world.member(step.at).url
+        var told = requests.report(entry, step)
+        while (step.untilRun && told.outcome == ToldOutcome.NOT_RUN) {
+            delay(resend)
+            told = requests.report(entry, step)
+        }
+        return told
+    }
+
     private fun track(name: String, send: suspend () -> Told) {
         tracked[name] = TrackedRequest(scope.async { send() })
     }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioStep.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioStep.kt
@@ -16,7 +16,10 @@
     data class Ask(val name: String, val at: String, val model: String, val prompt: String, val tokens: Int) :
         ScenarioStep
 
-    /** Sends a report to [service]; reports with the same [key] are the same report, sent again. */
+    /**
+     * Sends a report to [service]; reports with the same [key] are the same report, sent again. With [untilRun] the
+     * caller sends it again while it is told that it did not run.
+     */
     @Serializable
     @SerialName("report")
     data class Report(
@@ -26,6 +29,7 @@
         val key: String,
         val text: String = "",
         val timeoutSeconds: Int = 20,
+        val untilRun: Boolean = false,
     ) : ScenarioStep
 
     /** Looks a status up. */
--- a/bench/src/test/kotlin/io/mimosatrail/bench/scenario/ScenarioTest.kt
+++ b/bench/src/test/kotlin/io/mimosatrail/bench/scenario/ScenarioTest.kt
@@ -2,21 +2,28 @@
 
 import com.github.michaelbull.result.getOrThrow
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.engine.concurrency.TestExecutionMode
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
 import kotlin.io.path.Path
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.name
 import kotlin.io.path.readText
 import kotlin.time.Duration.Companion.minutes
 
+/** Stories mostly wait, so some run side by side. */
+private const val STORIES_AT_ONCE = 4
 private val root = Path("..").toAbsolutePath().normalize()
 
 class ScenarioTest :
     FunSpec({
+        testExecutionMode = TestExecutionMode.LimitedConcurrency(STORIES_AT_ONCE)
+
         root.resolve("scenarios").listDirectoryEntries("*.yaml").sortedBy { it.name }.forEach { file ->
             val scenario = ScenarioYaml.parse(file.readText()).getOrThrow { AssertionError("${file.name}: $it") }
             test("${scenario.story} (${file.name})").config(timeout = 3.minutes) {
-                ScenarioRun(scenario, root).run() shouldBe emptyList()
+                withContext(Dispatchers.IO) { ScenarioRun(scenario, root).run() } shouldBe emptyList()
             }
         }
     })
--- a/standins/src/main/kotlin/io/mimosatrail/standins/StandinServer.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/StandinServer.kt
@@ -56,8 +56,14 @@
     override fun handle(request: Request, response: Response, callback: Callback): Boolean = try {
         super.handle(request, response, callback)
     } catch (e: DropConnection) {
+        drop(request, callback)
+    } catch (e: InterruptedException) {
+        drop(request, callback)
+    }
+
+    private fun drop(request: Request, callback: Callback): Boolean {
         request.connectionMetaData.connection.endPoint.close()
         callback.succeeded()
-        true
+        return true
     }
 }
