--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Requests.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Requests.kt
@@ -11,7 +11,7 @@
 private const val VERSION = "1"
 private val lookUpTimeout = 20.seconds
 
-/** Sends requests to entries, given by their base URL, as a caller does, and notes in [ledger] what the caller was told. */
+/** Sends requests as a caller does, to entries given by their base URL, and notes in [ledger] what was told. */
 class Requests(private val caller: Caller, private val ledger: Ledger) {
     /** Asks for a completion of a model of [layers] layers; [onText] hears of each piece. */
     fun ask(entry: String, step: ScenarioStep.Ask, layers: Int, onText: (String) -> Unit): Told {
--- a/bench/src/test/kotlin/io/mimosatrail/bench/scenario/ScenarioTest.kt
+++ b/bench/src/test/kotlin/io/mimosatrail/bench/scenario/ScenarioTest.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.bench.scenario
 
 import com.github.michaelbull.result.getOrThrow
+import io.kotest.common.ExperimentalKotest
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.engine.concurrency.TestExecutionMode
 import io.kotest.matchers.shouldBe
@@ -16,6 +17,7 @@
 private const val STORIES_AT_ONCE = 4
 private val root = Path("..").toAbsolutePath().normalize()
 
+@OptIn(ExperimentalKotest::class)
 class ScenarioTest :
     FunSpec({
         testExecutionMode = TestExecutionMode.LimitedConcurrency(STORIES_AT_ONCE)
