--- a/bench/src/test/kotlin/io/mimosatrail/bench/recovery/StreamOverPeersTest.kt
+++ b/bench/src/test/kotlin/io/mimosatrail/bench/recovery/StreamOverPeersTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.mimosatrail.core.config.ModelPool
 import io.mimosatrail.core.id.InstanceId
@@ -83,6 +84,8 @@
         systemClock() + 1.minutes,
     )
 
+    fun recoveries(): Double = entry.host.meters.find("mimosatrail.stream.recoveries").counters().sumOf { it.count() }
+
     fun stop() {
         sidecars.forEach { it.stop() }
         entry.kill()
@@ -138,6 +141,7 @@
                         if (events.size == 10) failure.strike(sidecars[2 * at])
                     }
                     events shouldContainExactly whole(asked)
+                    recoveries() shouldBeGreaterThan 0.0
                 }
             }
         }
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
@@ -21,6 +21,9 @@
     var awaitsFirst = true
     var probe: ActiveProbe? = null
 
+    /** Factor on the time without progress; grows while a slow stage has no better replacement. */
+    var patience = 1
+
     /** True where the chain was resumed unchanged since the last token. */
     var resumed = false
     var replaceable = true
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/RecoveryPlanner.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/RecoveryPlanner.kt
@@ -17,7 +17,7 @@
 ) {
     /** The quickest plan without [lost], or null where no chain is left. */
     fun plan(stream: ActiveStream, lost: Set<InstanceId>, prefillPerPosition: Duration): RecoveryPlan? {
-        val request = ChainRequest(stream.spec.pool, stream.positions, stream.excluded.toSet())
+        val request = ChainRequest(stream.spec.pool, stream.positions, stream.excluded + lost)
         val stages = stream.chain.stages.size
         val situation = RecoverySituation(stream.positions, stages, prefillPerPosition, stream.interToken.value)
         val plans = listOfNotNull(resume(stream, lost), replace(stream, lost, request), reroute(stream, request))
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StallDiagnosis.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StallDiagnosis.kt
@@ -2,20 +2,41 @@
 
 import io.mimosatrail.core.id.InstanceId
 
-/** Finds the stages at fault for a stall of the token [awaited], from their [answers] to probes. */
-internal class StallDiagnosis(
-    private val chain: Chain,
-    private val answers: Map<InstanceId, StageProgress>,
-    private val awaited: Int,
-) {
-    /** Stages to replace; empty where every stage answers and the messages between them may have been lost. */
-    fun lostStages(resumedBefore: Boolean): Set<InstanceId> {
-        val gone = chain.stages.map { it.instance }.filter { answers[it]?.known != true }
-        if (gone.isNotEmpty()) return gone.toSet()
-        val behind = chain.stages.map { it.instance }.firstOrNull { isBehind(answers.getValue(it)) }
-        val slow = behind?.takeIf { answers.getValue(it).running || resumedBefore }
-        return setOfNotNull(slow)
+private const val MAX_PATIENCE = 4
+
+/**
+ * What probes say of a stall: [lost] stages are gone, a [slow] one still runs, and with [onItsWay] the
+ * first frame to one may still arrive; with none of these, messages were lost.
+ */
+internal class Stall(
+    val lost: Set<InstanceId> = emptySet(),
+    val slow: InstanceId? = null,
+    val onItsWay: Boolean = false,
+)
+
+/** Finds the stages at fault for the stall of a stream, from the answers to probes. */
+internal class StallDiagnosis(private val stream: ActiveStream, private val answers: Map<InstanceId, StageProgress>) {
+    private val stages = stream.chain.stages.map { it.instance }
+
+    /** True where every stage answered. */
+    val isComplete: Boolean get() = stages.all { it in answers }
+
+    /** Stages that answered and hold nothing of a request that they ran before. */
+    val forgetful: Set<InstanceId>
+        get() = if (stream.awaitsFirst) emptySet() else stages.filter { answers[it]?.known == false }.toSet()
+
+    fun stall(): Stall {
+        val gone = stages.filter { it !in answers }.toSet() + forgetful
+        val behind = stages.firstOrNull { it in answers && isBehind(answers.getValue(it)) }
+        return when {
+            gone.isNotEmpty() -> Stall(gone)
+            behind == null -> Stall()
+            answers.getValue(behind).running -> Stall(slow = behind)
+            !answers.getValue(behind).known && stream.patience < MAX_PATIENCE -> Stall(onItsWay = true)
+            stream.resumed || !answers.getValue(behind).known -> Stall(setOf(behind))
+            else -> Stall()
+        }
     }
 
-    private fun isBehind(progress: StageProgress) = progress.index < awaited
+    private fun isBehind(progress: StageProgress) = !progress.known || progress.index < stream.delivered.size
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamSettings.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamSettings.kt
@@ -10,6 +10,7 @@
  * A stream without a token for [suspectFactor] times its inter-token time, at least [suspectFloor], has its stages
  * probed; the answers are weighed after [probeWait]. Before the first token of a generation [prefillFloor] and the
  * predicted prefill time take their place. [prefillPerPosition] is the prediction before anything was observed.
+ * In each [slowPeriod] one stream, and one more for every [streamsPerSlowMove] open streams, may leave a slow stage.
  */
 class StreamSettings(
     val suspectFactor: Int = 4,
@@ -19,4 +20,6 @@
     val prefillPerPosition: Duration = 1.milliseconds,
     val maxRecoveries: Int = 8,
     val aliveEvery: Duration = 2.seconds,
+    val slowPeriod: Duration = 1.seconds,
+    val streamsPerSlowMove: Int = 10,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -42,6 +42,7 @@
     private val prefill = MovingMean(settings.prefillPerPosition)
     private val opener = GenerationOpener(self, address)
     private val planner = RecoveryPlanner(chooseChain, chooseStage, forecast)
+    private val slowBudget = SlowStageBudget(settings.slowPeriod, settings.streamsPerSlowMove)
     private var aliveAt: Moment? = null
 
     /** Number of open streams. */
@@ -118,6 +119,7 @@
         stream.progressAt = now
         stream.probe = null
         stream.resumed = false
+        stream.patience = 1
     }
 
     private fun onRefusal(stream: ActiveStream, message: StageRefusal, now: Moment): List<StreamEffect> {
@@ -138,8 +140,8 @@
     private fun onProgress(stream: ActiveStream, message: StageProgress, now: Moment): List<StreamEffect> {
         val probe = stream.probe ?: return emptyList()
         probe.answers[message.instance] = message
-        val lost = stream.chain.stages.map { it.instance }.filter { probe.answers[it]?.known == false }
-        return if (lost.isEmpty()) emptyList() else weigh(stream, probe, now)
+        val diagnosis = StallDiagnosis(stream, probe.answers)
+        return if (diagnosis.isComplete && diagnosis.forgetful.isNotEmpty()) weigh(stream, probe, now) else emptyList()
     }
 
     private fun check(stream: ActiveStream, now: Moment): List<StreamEffect> {
@@ -156,8 +158,8 @@
 
     private fun suspectAfter(stream: ActiveStream): Duration {
         val usual = maxOf(settings.suspectFloor, stream.interToken.value * settings.suspectFactor)
-        if (!stream.awaitsFirst) return usual
-        return usual + settings.prefillFloor + prefill.value * stream.positions * 2
+        val first = settings.prefillFloor + prefill.value * stream.positions * 2
+        return (if (stream.awaitsFirst) usual + first else usual) * stream.patience
     }
 
     private fun probe(stream: ActiveStream, now: Moment): List<StreamEffect> {
@@ -165,11 +167,29 @@
         return opener.probes(stream)
     }
 
-    /** Decides which stages are lost from the answers to the probes. */
+    /** Decides from the answers to the probes how the stream carries on. */
     private fun weigh(stream: ActiveStream, probe: ActiveProbe, now: Moment): List<StreamEffect> {
-        val lost = StallDiagnosis(stream.chain, probe.answers, stream.delivered.size).lostStages(stream.resumed)
-        val hints = lost.filter { it !in probe.answers }.map { StreamEffect.Lost(it) }
-        return hints + recover(stream, lost, RefusalReason.PEER_LOST, unrun = false, now)
+        val stall = StallDiagnosis(stream, probe.answers).stall()
+        if (stall.onItsWay) return waitLonger(stream)
+        if (stall.slow != null) return leaveSlow(stream, stall.slow, now)
+        val hints = stall.lost.filter { it !in probe.answers }.map { StreamEffect.Lost(it) }
+        return hints + recover(stream, stall.lost, RefusalReason.PEER_LOST, unrun = false, now)
+    }
+
+    /** Replaces a stage that is slow but alive, where that is possible and within the budget; else waits longer. */
+    private fun leaveSlow(stream: ActiveStream, slow: InstanceId, now: Moment): List<StreamEffect> {
+        val able = stream.recoveries < settings.maxRecoveries &&
+            planner.plan(stream, setOf(slow), prefill.value) != null
+        if (able && slowBudget.take(streams.size, now)) {
+            return recover(stream, setOf(slow), RefusalReason.PEER_LOST, unrun = false, now)
+        }
+        return waitLonger(stream)
+    }
+
+    private fun waitLonger(stream: ActiveStream): List<StreamEffect> {
+        stream.probe = null
+        stream.patience *= 2
+        return emptyList()
     }
 
     private fun rerouteAfterGap(stream: ActiveStream, now: Moment): List<StreamEffect> {
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/StreamRecoveryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/StreamRecoveryTest.kt
@@ -6,11 +6,13 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.mimosatrail.core.outcome.Outcome
 import io.mimosatrail.core.outcome.RefusalReason
 import io.mimosatrail.core.pipeline.simulation.VirtualAnswer
 import io.mimosatrail.core.pipeline.simulation.VirtualCluster
+import io.mimosatrail.core.pipeline.simulation.VirtualSpeed
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -95,6 +97,33 @@
             answer.ways shouldContain RecoveryWay.REPLACE
         }
 
+        test("a slow stage without replacement is waited for") {
+            val cluster = VirtualCluster(SEED, threeStages, replicas = 1)
+            val answer = run(cluster, tokens = 20) { all, _ -> all.busy(1).slowdown = 100 }
+            answer.shouldBeWhole(cluster)
+            answer.ways.shouldBeEmpty()
+        }
+
+        test("a long prompt over slow links is not taken for a failure") {
+            val speed = VirtualSpeed(bytesPerSecond = 1e5, positionBytes = 120)
+            val cluster = VirtualCluster(SEED, threeStages, speed = speed)
+            val spec = cluster.spec("long", 2_000, 20, 1.minutes)
+            cluster.entry.open(spec)
+            cluster.run(90.seconds)
+            val answer = cluster.entry.answers.getValue(spec.id)
+            answer.shouldBeWhole(cluster)
+            answer.ways.shouldBeEmpty()
+        }
+
+        test("a slow engine moves few streams at once") {
+            val cluster = VirtualCluster(SEED, threeStages)
+            repeat(30) { cluster.entry.open(cluster.spec("advisory-$it", 20, 300, 1.minutes)) }
+            cluster.run(1.seconds)
+            cluster.stages.forEach { it.slowdown = 60 }
+            cluster.run(1.seconds)
+            cluster.entry.answers.values.sumOf { it.ways.size } shouldBeLessThanOrEqual 8
+        }
+
         test("a silent link is noticed although the connection stays open") {
             val cluster = VirtualCluster(SEED, threeStages)
             val answer = run(cluster) { all, _ ->
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualLink.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualLink.kt
@@ -38,15 +38,16 @@
         if (random.nextDouble() < probability) faults.jitter * random.nextDouble() else Duration.ZERO
 
     private fun bytesOf(message: StreamMessage?): Long = when (message) {
-        is Frame -> HEADER_BYTES + message.count.toLong() * speed.positionBytes + restoredBytes(message)
+        is Frame -> HEADER_BYTES + message.count.toLong() * perPosition(message) + restoredBytes(message)
         is StageSnapshot -> HEADER_BYTES + message.snapshot.positions.toLong() * speed.kvBytes
         else -> HEADER_BYTES.toLong()
     }
 
+    private fun perPosition(frame: Frame) = if (frame.nextLayer == 0) Int.SIZE_BYTES else speed.positionBytes
+
     private fun restoredBytes(frame: Frame): Long {
         val restore = frame.restore ?: return 0
         val positions = frame.position - restore.from
-        val perPosition = if (frame.nextLayer == 0) Int.SIZE_BYTES else speed.positionBytes
-        return positions.toLong() * perPosition + (restore.snapshot?.positions ?: 0).toLong() * speed.kvBytes
+        return positions.toLong() * perPosition(frame) + (restore.snapshot?.positions ?: 0).toLong() * speed.kvBytes
     }
 }
