--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/recovery/RecoveryCase.kt
@@ -0,0 +1,39 @@
+package io.mimosatrail.bench.recovery
+
+import io.mimosatrail.core.pipeline.RecoveryForecast
+import io.mimosatrail.core.pipeline.RecoveryWay
+import io.mimosatrail.core.pipeline.StageSettings
+import io.mimosatrail.core.pipeline.StreamSettings
+import io.mimosatrail.core.pipeline.observedForecast
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.seconds
+
+/** How a caller gets past the loss of a stage. */
+internal enum class Strategy(
+    val label: String,
+    val forecast: RecoveryForecast,
+    val stage: StageSettings,
+    val stream: StreamSettings = StreamSettings(),
+) {
+    REPLACE("replace", observedForecast, StageSettings()),
+    REPLACE_FROM_SNAPSHOT("replace-snapshot", observedForecast, StageSettings(snapshotTokens = 16)),
+    REROUTE("reroute", withoutReplacement, StageSettings()),
+    RESTART("restart", observedForecast, StageSettings(), StreamSettings(maxRecoveries = 0)),
+}
+
+/** Speed of the links between stages. */
+internal enum class LinkSpeed(val label: String, val bytesPerSecond: Double) {
+    FAST("10gbit", 1.25e9),
+    MIDDLE("1gbit", 1.25e8),
+    SLOW("100mbit", 1.25e7),
+}
+
+/** One row of the table. */
+internal data class RecoveryCase(val promptTokens: Int, val link: LinkSpeed, val strategy: Strategy) {
+    val name: String get() = "stall-${strategy.label}-$promptTokens-${link.label}"
+}
+
+private val withoutReplacement: RecoveryForecast = { way, _ ->
+    if (way == RecoveryWay.REROUTE) Duration.ZERO else 1.hours + 1.seconds
+}
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualCluster.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualCluster.kt
@@ -58,6 +58,7 @@
     val time = VirtualTime()
     val layers = ranges.last().end
     val violations = mutableListOf<InvariantViolation>()
+    private val lost = mutableSetOf<InstanceId>()
     private val links = HashMap<Pair<PeerAddress, PeerAddress>, VirtualLink>()
     val pool = ModelPool(ServiceId("drafting"), ModelId("toy"), layers)
     val entry = VirtualEntry(this, InstanceId("entry"), address(ENTRY_PORT))
@@ -100,6 +101,10 @@
         link(from.address, to).send(null) { target.alive(from.instance) }
     }
 
+    fun onLost(instance: InstanceId) {
+        lost += instance
+    }
+
     fun sampling(): Int = random.nextInt(spread)
 
     internal fun newStageTable(instance: InstanceId) = StageTable(instance, stageSettings, violations::add, checks)
@@ -125,9 +130,11 @@
         return Chain(chosen)
     }
 
-    private fun chooseStage(request: ChainRequest, range: LayerRange): Stage? = stages.map { it.stage }
-        .filter { it.layers == range && it.instance !in request.excluded }
-        .randomOrNull(random)
+    /** Prefers stages that were never reported lost. */
+    private fun chooseStage(request: ChainRequest, range: LayerRange): Stage? {
+        val able = stages.map { it.stage }.filter { it.layers == range && it.instance !in request.excluded }
+        return able.filter { it.instance !in lost }.ifEmpty { able }.randomOrNull(random)
+    }
 
     private fun address(port: Int) = PeerAddress("127.0.0.1", port)
 }
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualEntry.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualEntry.kt
@@ -37,6 +37,9 @@
     /** Hears of each token as it reaches the caller. */
     var onToken: (VirtualAnswer) -> Unit = {}
 
+    /** Hears of the end of each stream. */
+    var onEnd: (VirtualAnswer) -> Unit = {}
+
     fun open(spec: StreamSpec) {
         answers[spec.id] = VirtualAnswer(spec, cluster.time.now)
         act { table.open(spec, cluster.time.now) }
@@ -64,7 +67,8 @@
             is StreamEffect.Finish -> end(effect.request) { finished = effect.reason }
             is StreamEffect.Fail -> end(effect.request) { failed = effect.refusal }
             is StreamEffect.Recovering -> answers.getValue(effect.request).ways += effect.way
-            is StreamEffect.Loaded, is StreamEffect.Refused, is StreamEffect.Lost -> Unit
+            is StreamEffect.Lost -> cluster.onLost(effect.instance)
+            is StreamEffect.Loaded, is StreamEffect.Refused -> Unit
         }
     }
 
@@ -79,5 +83,6 @@
         val answer = answers.getValue(request)
         answer.ends++
         answer.note()
+        onEnd(answer)
     }
 }
