Challenge for a key where it is missing, start stories in a settled state

Cause: the story runner-dies-mid-answer failed under load with 0 tokens. Its request came before the entry had the ticket, was answered 401 without WWW-Authenticate, and Jetty's client then reported a protocol violation in place of the refusal. Ruled out: stage recovery, since no stage had been asked. Change: 401 carries WWW-Authenticate: Bearer; a story begins once its ticket is in force everywhere; a step that waits for tokens tells how the request ended.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
@@ -55,13 +55,14 @@
         return ledger.violations(world.records())
     }
 
-    /** Waits until each entry knows every upstream, so that a story starts in a settled state. */
+    /** Waits until the ticket is in force and each entry knows every upstream: a story starts in a settled state. */
     private suspend fun awaitKnown() {
         val sidecars = world.fleet.running.size - scenario.entries.size
         val settled = eventually {
-            scenario.entries.all { world.member(it).daemon.status().upstreams.size == sidecars }
+            val informed = scenario.entries.all { world.member(it).daemon.status().upstreams.size == sidecars }
+            informed && world.fleet.running.all { it.daemon.status().revision > 0 }
         }
-        check(settled) { "the entries did not learn of all upstreams" }
+        check(settled) { "the ticket and all upstreams are not known everywhere" }
     }
 
     private suspend fun run(step: ScenarioStep, desk: TicketDesk) {
@@ -70,7 +71,7 @@
             is ScenarioStep.Ask -> ask(step)
             is ScenarioStep.Report -> track(step.name) { report(step) }
             is ScenarioStep.LookUp -> track(step.name) { requests.lookUp(world.member(step.at).url, step) }
-            is ScenarioStep.AwaitTokens -> await(step) { request(step.of).tokens.get() >= step.count }
+            is ScenarioStep.AwaitTokens -> awaitTokens(step)
             is ScenarioStep.AwaitRecords -> await(step) { world.application(step.at).records.size >= step.count }
             is ScenarioStep.AwaitRevision ->
                 await(step) { world.fleet.running.all { it.daemon.status().revision >= step.revision } }
@@ -102,6 +103,14 @@
         }
     }
 
+    private suspend fun awaitTokens(step: ScenarioStep.AwaitTokens) {
+        val request = request(step.of)
+        val arrived = eventually { request.tokens.get() >= step.count || request.told.isCompleted }
+        if (request.tokens.get() >= step.count) return
+        val end = if (arrived) "told ${request.told.await()}" else "no end in $patience"
+        throw StepFailed(step, "${request.tokens.get()} tokens, $end")
+    }
+
     private fun ask(step: ScenarioStep.Ask) {
         val entry = world.member(step.at).url
         val tokens = AtomicInteger()
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/http/Problem.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/http/Problem.kt
@@ -48,9 +48,14 @@
         .header("Content-Type", "application/problem+json")
         .header(REQUEST_ID_HEADER, request.value)
         .body(httpJson.encodeToString(Problem.serializer(), toProblem(request)))
-    return retryAfterSeconds()?.let { response.header("Retry-After", it.toString()) } ?: response
+    val challenge = "Bearer".takeIf { reason == RefusalReason.UNAUTHENTICATED }
+    return response
+        .headerIfGiven("WWW-Authenticate", challenge)
+        .headerIfGiven("Retry-After", retryAfterSeconds()?.toString())
 }
 
+private fun Response.headerIfGiven(name: String, value: String?) = if (value == null) this else header(name, value)
+
 private fun Refusal.retryAfterSeconds() = retryAfterMillis?.let { (it + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND }
 
 private fun Refusal.status(): Status = when (reason) {
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
@@ -172,6 +172,7 @@
                 response.status.code shouldBe case.status
                 response.header("Content-Type") shouldBe "application/problem+json"
                 response.bodyString() shouldContain "\"outcome\":\"not-run\""
+                response.header("WWW-Authenticate") shouldBe "Bearer".takeIf { case.status == 401 }
                 fixture.calls.size shouldBe 0
                 fixture.inFlight.current.requests shouldBe 0
             }
