--- a/bench/src/main/kotlin/io/mimosatrail/bench/fleet/StreamedAnswer.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/fleet/StreamedAnswer.kt
@@ -13,7 +13,10 @@
 
 /** Reads server-sent events until they end. */
 internal fun readStream(response: Response, onText: (String) -> Unit): StreamedAnswer {
-    if (response.status.code != 200) return StreamedAnswer(response.status.code, "", false, response.bodyString())
+    if (response.status.code != 200) {
+        val problem = response.bodyString().ifEmpty { response.status.toString() }
+        return StreamedAnswer(response.status.code, "", false, problem)
+    }
     val text = StringBuilder()
     var finished = false
     var problem: String? = null
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Ledger.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Ledger.kt
@@ -84,4 +84,7 @@
 
     /** A model answer that was cut is a beginning of the model's answer. */
     RIGHT_TOKENS,
+
+    /** A planned stop cuts no request. */
+    GRACEFUL_STOP,
 }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Requests.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/Requests.kt
@@ -9,6 +9,9 @@
 
 private const val PROBLEM = "application/problem+json"
 private const val VERSION = "1"
+
+/** Words of the HTTP client for a connection that did not come about. */
+private const val NOT_CONNECTED = "Connection refused"
 private val lookUpTimeout = 20.seconds
 
 /** Sends requests as a caller does, to entries given by their base URL, and notes in [ledger] what was told. */
@@ -30,7 +33,7 @@
             finished -> Told(ToldOutcome.WHOLE, text.toString())
             text.isNotEmpty() -> Told(ToldOutcome.CUT, problem.orEmpty())
             problem != null -> problemOf(problem)
-            else -> Told(ToldOutcome.NO_ANSWER, answer.exceptionOrNull().toString())
+            else -> noAnswer(answer.exceptionOrNull().toString())
         }
     }
 
@@ -66,7 +69,7 @@
         val end = attempt {
             caller.call(entry, method, path, body, key, timeout).use { response -> told(response, answered) }
         }
-        return end.getOrElse { Told(ToldOutcome.NO_ANSWER, it.toString()) }
+        return end.getOrElse { noAnswer(it.toString()) }
     }
 
     private fun told(response: Response, answered: (Response) -> ToldOutcome): Told {
@@ -75,15 +78,18 @@
         return when {
             type?.startsWith(PROBLEM) == true -> problemOf(response.bodyString())
             response.status.successful -> Told(answered(response), "", replayed)
-            type == null -> Told(ToldOutcome.NO_ANSWER, response.status.toString())
+            type == null -> noAnswer(response.status.toString())
             else -> Told(ToldOutcome.FAILED, response.status.toString(), replayed)
         }
     }
 
     private fun problemOf(problem: String): Told {
         val body = attempt { storyJson.decodeFromString(ProblemBody.serializer(), problem) }
-        return body.fold({ Told(it.outcome, problem) }, { Told(ToldOutcome.NO_ANSWER, problem) })
+        return body.fold({ Told(it.outcome, problem) }, { noAnswer(problem) })
     }
 
+    private fun noAnswer(detail: String) =
+        Told(if (NOT_CONNECTED in detail) ToldOutcome.NO_CONNECTION else ToldOutcome.NO_ANSWER, detail)
+
     private fun <T> attempt(action: () -> T): Result<T> = runCatching(action)
 }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ToldOutcome.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ToldOutcome.kt
@@ -38,6 +38,10 @@
     @SerialName("no-answer")
     NO_ANSWER,
 
+    /** No connection came about, so that nothing was sent. */
+    @SerialName("no-connection")
+    NO_CONNECTION,
+
     /** A ticket that was accepted. */
     @SerialName("accepted")
     ACCEPTED,
--- a/bench/src/main/kotlin/io/mimosatrail/bench/soak/SoakReport.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/soak/SoakReport.kt
@@ -21,6 +21,8 @@
         println(row("violations seen outside", "${violations.size}"))
         println(row("violations counted inside", if (inside < 0) "not read" else "$inside"))
         violations.forEach { println(row("  ${it.promise}", it.detail)) }
+        println("ends other than answered:")
+        tally.commonDetails().forEach { println("  $it") }
     }
 
     private fun outcomes(request: SoakRequest): String {
--- a/bench/src/main/kotlin/io/mimosatrail/bench/soak/SoakRun.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/soak/SoakRun.kt
@@ -3,9 +3,11 @@
 import io.mimosatrail.bench.fleet.Caller
 import io.mimosatrail.bench.scenario.Ledger
 import io.mimosatrail.bench.scenario.MadeRecord
+import io.mimosatrail.bench.scenario.Promise
 import io.mimosatrail.bench.scenario.ReportBody
 import io.mimosatrail.bench.scenario.TicketDesk
 import io.mimosatrail.bench.scenario.ToldOutcome
+import io.mimosatrail.bench.scenario.Violation
 import io.mimosatrail.bench.scenario.storyJson
 import io.mimosatrail.standins.instances.InstanceRow
 import io.mimosatrail.standins.plain.RecordsBody
@@ -24,13 +26,17 @@
 private val violationsMeter = Regex("mimosatrail_\\S*violations_total.*")
 private val poll = 100.milliseconds
 
-/** One soak run: lists the processes, submits the ticket, sends traffic for [seconds] and checks what was told. */
+/**
+ * One soak run: lists the processes, submits the ticket, sends traffic for [seconds] and checks what was told. With
+ * [stopsOnly] the script makes planned stops only, so that any request that is cut breaks a promise.
+ */
 internal class SoakRun(
     private val layout: SoakLayout,
     private val seconds: Int,
     private val seed: Long,
     private val faults: Path,
     private val ready: Path,
+    private val stopsOnly: Boolean,
 ) {
     private val http = JettyClient()
     private val tally = SoakTally()
@@ -48,7 +54,7 @@
         val end = TimeSource.Monotonic.markNow() + seconds.seconds
         Caller(layout.key).use { SoakTraffic(layout, seed, end, tally, ledger, it).run() }
         val records = records()
-        val violations = ledger.violations(records)
+        val violations = ledger.violations(records) + if (stopsOnly) cuts() else emptyList()
         SoakReport(tally, faults).print(records.size, violations, inside())
         return violations.isEmpty()
     }
@@ -80,6 +86,13 @@
         }
     }
 
+    private fun cuts(): List<Violation> = SoakRequest.entries.flatMap { request ->
+        listOf(ToldOutcome.CUT, ToldOutcome.NO_ANSWER, ToldOutcome.UNKNOWN).mapNotNull { outcome ->
+            val count = tally.of(request, outcome)
+            if (count == 0L) null else Violation(Promise.GRACEFUL_STOP, "$request ended $outcome: $count")
+        }
+    }
+
     /** Violations that the processes counted themselves, or -1 where none tells. */
     private fun inside(): Long {
         val pages = layout.admins.mapNotNull { admin ->
--- a/bench/src/main/kotlin/io/mimosatrail/bench/soak/SoakTraffic.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/soak/SoakTraffic.kt
@@ -57,7 +57,7 @@
         val step = ScenarioStep.Ask(name, "", layout.model, "Heater log $name at Kiruna", tokens)
         val clock = GapClock(tally)
         val told = requests.ask(entry(random), step, layout.modelLayers) { clock.onText() }
-        tally.count(SoakRequest.ANSWER, told.outcome)
+        tally.count(SoakRequest.ANSWER, told)
     }
 
     private suspend fun report(random: Random, key: String) {
@@ -65,7 +65,7 @@
         do {
             val step = ScenarioStep.Report(key, "", layout.service, key, "heater is cold", REPORT_TIMEOUT_SECONDS)
             val told = requests.report(entry(random), step)
-            tally.count(SoakRequest.REPORT, told.outcome)
+            tally.count(SoakRequest.REPORT, told)
             attempt++
             val again = sendsAgain(told, random) && attempt < REPORT_ATTEMPTS
             if (again) delay(random.pause())
@@ -77,7 +77,7 @@
 
     private fun lookUp(random: Random, name: String) {
         val told = requests.lookUp(entry(random), ScenarioStep.LookUp(name, "", layout.service, name))
-        tally.count(SoakRequest.LOOKUP, told.outcome)
+        tally.count(SoakRequest.LOOKUP, told)
     }
 
     private fun entry(random: Random) = layout.entries.random(random)
