Measure requests and token times at the entry, let cancelled handlers end quietly

Cause: operators saw no request metrics; a killed process logged an error for each handler it cancelled. Measured: the front's tests count each end once.

--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/ModelFront.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/ModelFront.kt
@@ -22,7 +22,8 @@
 import io.mimosatrail.daemon.http.readBody
 import io.mimosatrail.daemon.http.toResponse
 import kotlinx.coroutines.channels.ReceiveChannel
-import kotlinx.coroutines.channels.produce
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.produceIn
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.http4k.core.Request
@@ -40,6 +41,7 @@
     private val host: Host,
     private val gate: EntryGate,
     private val open: StreamOpener,
+    private val meters: FrontMeters,
     private val maxBodyBytes: Int,
     private val tokenizer: Tokenizer = ByteTokenizer,
 ) {
@@ -47,6 +49,7 @@
     fun handle(id: RequestId, request: Request, parse: ParseQuery, done: () -> Unit): Response {
         val accepted = accept(id, request, parse).getOrElse {
             done()
+            meters.refused(null, it)
             return it.toResponse(id)
         }
         return respond(accepted, done)
@@ -76,9 +79,8 @@
 
     private fun respond(accepted: Accepted, done: () -> Unit): Response {
         val answer = Answer(AnswerWriter(accepted.request.id, accepted.query), done)
-        val events = host.scope.produce(capacity = accepted.request.maxTokens + 1) {
-            open(accepted.request).collect { send(it) }
-        }
+        val request = accepted.request
+        val events = meters.timed(request.pool.id, open(request)).buffer(request.maxTokens + 1).produceIn(host.scope)
         val first = runBlocking { events.receiveCatching().getOrNull() } ?: StreamEvent.Failed(ended())
         return when {
             first is StreamEvent.Failed -> answer.refuse(accepted.request.id, first.refusal)
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/ServiceFront.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/ServiceFront.kt
@@ -49,11 +49,19 @@
     private val host: Host,
     private val gate: EntryGate,
     private val route: CallRouter,
+    private val meters: FrontMeters,
     private val maxBodyBytes: Int,
 ) {
     fun handle(id: RequestId, request: Request): Response {
-        val call = accept(id, request).getOrElse { return it.toResponse(id) }
-        val answer = runBlocking { route(call) }.getOrElse { return withKey(it.toResponse(id), call) }
+        val call = accept(id, request).getOrElse {
+            meters.refused(null, it)
+            return it.toResponse(id)
+        }
+        val answer = runBlocking { route(call) }.getOrElse {
+            meters.refused(call.service.id, it)
+            return withKey(it.toResponse(id), call)
+        }
+        meters.answered(call.service.id)
         return withKey(answer.toResponse(id), call)
     }
 
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/role/EntryRole.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/role/EntryRole.kt
@@ -7,6 +7,7 @@
 import io.mimosatrail.daemon.entry.directory.LiveDirectory
 import io.mimosatrail.daemon.entry.front.EntryFront
 import io.mimosatrail.daemon.entry.front.EntryGate
+import io.mimosatrail.daemon.entry.front.FrontMeters
 import io.mimosatrail.daemon.entry.front.InFlight
 import io.mimosatrail.daemon.entry.front.ModelFront
 import io.mimosatrail.daemon.entry.front.ServiceFront
@@ -25,10 +26,11 @@
     private val calls = CallForwarder(host, directory)
     private val inFlight = InFlight(settings.limits.maxRequests)
     private val gate = EntryGate(host.configuration, ready, admission::admit)
+    private val meters = FrontMeters(host.meters, host.clock)
     private val front = EntryFront(
         self = host.self.id,
-        models = ModelFront(host, gate, streams::open, settings.limits.maxBodyBytes),
-        services = ServiceFront(host, gate, calls::call, settings.limits.maxBodyBytes),
+        models = ModelFront(host, gate, streams::open, meters, settings.limits.maxBodyBytes),
+        services = ServiceFront(host, gate, calls::call, meters, settings.limits.maxBodyBytes),
         configuration = host.configuration,
         inFlight = inFlight,
     )
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
@@ -88,6 +88,7 @@
     val calls = mutableListOf<ServiceCall>()
     val inFlight = InFlight(limit)
     private val peerSettings = PeerSettings(self.id, "127.0.0.1", 0, listOf("secret"))
+    val registry = SimpleMeterRegistry()
     private val host = Host(
         self = self,
         clock = systemClock,
@@ -95,12 +96,13 @@
         scope = CoroutineScope(SupervisorJob() + Dispatchers.Default),
         peers = PeerNode(peerSettings, { ConfigRevision(1) }) { _, _ -> null },
         store = { StoreReply.NotDone("no store in this test") },
-        meters = SimpleMeterRegistry(),
+        meters = registry,
         messages = MessageRouter(),
         configuration = { configuration },
         instances = { emptyList() },
     )
     private val gate = EntryGate({ configuration }, { ready }) { _, _ -> null }
+    private val meters = FrontMeters(registry, systemClock)
     private val services = ServiceFront(
         host,
         gate,
@@ -108,9 +110,10 @@
             calls += call
             Ok(CallAnswer(201, emptyList(), "made".toByteArray(), replayed = false))
         },
+        meters,
         maxBodyBytes = 1_000,
     )
-    val front = EntryFront(self.id, ModelFront(host, gate, open, 1_000), services, { configuration }, inFlight)
+    val front = EntryFront(self.id, ModelFront(host, gate, open, meters, 1_000), services, { configuration }, inFlight)
 
     fun send(method: Method, path: String, body: String = "", vararg headers: Pair<String, String>): Response =
         front.handler(Request(method, path).headers(headers.toList()).body(body))
@@ -185,6 +188,18 @@
             response.bodyString() shouldContain "\"finish_reason\":\"length\""
         }
 
+        test("each request is counted once by its end, with the times of its tokens") {
+            val fixture = Fixture()
+            fixture.complete("""{"model":"heater","prompt":"x","max_tokens":3}""")
+            fixture.complete("""{"model":"other","prompt":"x"}""")
+            fixture.send(Method.POST, "/services/defects/reports", "r", key)
+            val ends = fixture.registry.find("mimosatrail.requests").counters()
+                .associate { it.id.getTag("service") + " " + it.id.getTag("end") to it.count() }
+            ends shouldBe mapOf("inspection whole" to 1.0, "none not-found" to 1.0, "defects whole" to 1.0)
+            fixture.registry.get("mimosatrail.first.token").timer().count() shouldBe 1
+            fixture.registry.get("mimosatrail.inter.token").timer().count() shouldBe 2
+        }
+
         test("a whole stream ends with its finish event") {
             val fixture = Fixture()
             val response = fixture.complete("""{"model":"heater","prompt":"x","max_tokens":2,"stream":true}""")
--- a/protocol/src/main/kotlin/io/mimosatrail/protocol/PeerNode.kt
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/PeerNode.kt
@@ -123,6 +123,8 @@
         onRevision(from, envelope.revision)
         return try {
             handler(from, envelope.message)
+        } catch (e: CancellationException) {
+            throw e
         } catch (e: Exception) {
             log.error(e) { "peers: handling ${envelope.message.javaClass.simpleName} from $from failed" }
             null
