--- /dev/null
+++ b/bench/src/test/kotlin/io/mimosatrail/bench/journal/CallScheduleTest.kt
@@ -0,0 +1,55 @@
+package io.mimosatrail.bench.journal
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+
+private const val SEED = 20_261_204L
+private const val SCHEDULES_PER_CASE = 25
+
+private data class Case(val faults: Set<SimulatedFault>) {
+    override fun toString() = faults.joinToString("+").ifEmpty { "no faults" }
+}
+
+private val cases = listOf(Case(emptySet())) +
+    SimulatedFault.entries.map { Case(setOf(it)) } +
+    listOf(
+        Case(setOf(SimulatedFault.PAUSE, SimulatedFault.CRASH)),
+        Case(setOf(SimulatedFault.OUTAGE, SimulatedFault.LOST_ANSWERS, SimulatedFault.PAUSE)),
+        Case(setOf(SimulatedFault.LEAVE, SimulatedFault.CRASH, SimulatedFault.LOST_ANSWERS)),
+        Case(SimulatedFault.entries.toSet()),
+    )
+
+private fun verdicts(faults: Set<SimulatedFault>, defect: SimulatedDefect = SimulatedDefect.NONE) =
+    (SEED until SEED + SCHEDULES_PER_CASE).map { CallSchedule(it, faults, defect).run() }
+
+class CallScheduleTest :
+    FunSpec({
+        context("no call is doubled, and each caller is told the truth, under") {
+            println("seeds $SEED until ${SEED + SCHEDULES_PER_CASE}")
+            withData(nameFn = { it.toString() }, cases) { case ->
+                verdicts(case.faults).forEach { verdict ->
+                    withClue(verdict.toString()) {
+                        verdict.doubles shouldBe 0
+                        verdict.falseNotRun.shouldBeEmpty()
+                        verdict.wrongAnswers.shouldBeEmpty()
+                        verdict.swapped.shouldBeEmpty()
+                        verdict.violations.shouldBeEmpty()
+                        verdict.notRecovered.shouldBeEmpty()
+                        verdict.answered shouldBeGreaterThan 0
+                    }
+                }
+            }
+        }
+
+        test("without seals, paused owners double calls") {
+            verdicts(setOf(SimulatedFault.PAUSE), SimulatedDefect.NO_SEAL).sumOf { it.doubles } shouldBeGreaterThan 0
+        }
+
+        test("without stored claims, crashed owners double calls") {
+            verdicts(setOf(SimulatedFault.CRASH), SimulatedDefect.NO_CLAIM).sumOf { it.doubles } shouldBeGreaterThan 0
+        }
+    })
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/ClaimJournal.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/ClaimJournal.kt
@@ -10,7 +10,7 @@
 
 /**
  * Decides on the non-idempotent calls of one owner during [epoch]: each is sent at most once, after its claim stands in
- * the store. Events come in, effects go out; calls must not overlap.
+ * the store. Events come in, effects go out.
  *
  * [violated] hears of a broken promise; the call concerned is refused.
  */
@@ -29,13 +29,16 @@
     private var isDraining = false
 
     /** True once another process sealed the journal. */
+    @Volatile
     var isLost = false
         private set
 
     /** True when nothing is in flight and every outcome is stored. */
-    val isQuiet: Boolean get() = claims.pending.isEmpty() && (writer.isEmpty || isLost)
+    val isQuiet: Boolean
+        @Synchronized get() = claims.pending.isEmpty() && (writer.isEmpty || isLost)
 
     /** Starts to serve [served] of [total] slots, whose earlier claims are in [history]. [owners] share the budget. */
+    @Synchronized
     fun admit(served: Set<SlotId>, total: Int, history: ClaimHistory) {
         slots += served
         slotCount = total
@@ -43,18 +46,22 @@
     }
 
     /** Slots served now. */
+    @Synchronized
     fun served(): Set<SlotId> = slots.toSet()
 
     /** Notes how many owners share the service's write budget. */
+    @Synchronized
     fun shareBudget(owners: Int) {
         writer.owners = owners
     }
 
     /** Refuses keys that are not known yet. */
+    @Synchronized
     fun startDraining() {
         isDraining = true
     }
 
+    @Synchronized
     fun onCall(attempt: CallAttempt, time: CallTime): List<CallEffect> {
         val claim = claims[attempt.key]
         val refusal = when {
@@ -76,6 +83,7 @@
     }
 
     /** Takes the store's [reply] to the outstanding [CallEffect.Append]. */
+    @Synchronized
     fun onAppended(reply: StoreReply, time: CallTime): List<CallEffect> = when (reply) {
         is StoreReply.Written -> onWritten(time)
         is StoreReply.Conflict -> onConflict(reply, time)
@@ -84,6 +92,7 @@
     }
 
     /** Takes the upstream's [result] for the call sent for [attempt]; a result that comes twice is ignored. */
+    @Synchronized
     fun onResult(attempt: AttemptId, result: RunResult, time: CallTime): List<CallEffect> {
         val claim = claims.sentFor(attempt) ?: return emptyList()
         val replies = when (result) {
@@ -95,6 +104,7 @@
     }
 
     /** Ends waits whose deadline has passed, forgets old claims and writes what is due. */
+    @Synchronized
     fun tick(time: CallTime): List<CallEffect> {
         claims.forgetBefore(time.wall - settings.retention)
         val stalled = if (writer.isStalled(time.now)) giveUpOnStore() else emptyList()
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotDuty.kt
@@ -0,0 +1,137 @@
+package io.mimosatrail.core.calls
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.mimosatrail.core.id.Epoch
+
+/** What a [SlotDuty] tells its host, for logs and meters. */
+sealed interface SlotNotice {
+    data class Began(val epoch: Epoch) : SlotNotice
+
+    data class Took(val epoch: Epoch, val slots: Int, val claims: Int) : SlotNotice
+
+    data class Ended(val epoch: Epoch) : SlotNotice
+
+    data class Failed(val fault: StoreFault) : SlotNotice
+}
+
+/**
+ * Keeps one process's epoch and slots: begins epochs, takes over from owners that are gone, gives slots up for an even
+ * share, and hands all of them over at a planned stop. Steps must not overlap.
+ */
+class SlotDuty(
+    private val session: SlotSession,
+    private val settings: CallSettings,
+    private val slotCount: () -> Int?,
+    private val newJournal: (Epoch) -> ClaimJournal,
+    private val report: (SlotNotice) -> Unit,
+) {
+    private var isRebalancing = false
+    private var steps = 0L
+
+    @Volatile
+    private var isLeaving = false
+
+    /** The journal of the current epoch; null between epochs. */
+    @Volatile
+    var current: ClaimJournal? = null
+        private set
+
+    /** True once the slots are handed over after [leave]. */
+    @Volatile
+    var hasLeft = false
+        private set
+
+    /** Hands the slots over once everything in flight has ended; goes on with each [step]. */
+    fun leave() {
+        isLeaving = true
+        current?.startDraining()
+    }
+
+    /** One step of the duty, at [wall]. */
+    suspend fun step(wall: WallTime) {
+        current?.takeIf { it.isLost }?.let(::end)
+        when {
+            isLeaving -> leaveStep()
+            isRebalancing -> rebalance()
+            else -> refresh(wall)
+        }
+    }
+
+    private suspend fun refresh(wall: WallTime) {
+        val slots = slotCount() ?: return
+        val journal = current
+        session.refresh(journal?.epoch, journal?.served().orEmpty(), slots)
+            .onSuccess { apply(it, wall) }
+            .onFailure { report(SlotNotice.Failed(it)) }
+    }
+
+    private suspend fun apply(step: SlotStep, wall: WallTime) = when (step) {
+        is SlotStep.Began -> beginAndTakeSlots(step.epoch, wall)
+        is SlotStep.Continued -> continueWith(step.change, wall)
+        is SlotStep.Ended -> current?.let(::end)
+    }
+
+    private suspend fun beginAndTakeSlots(epoch: Epoch, wall: WallTime) {
+        current = newJournal(epoch)
+        report(SlotNotice.Began(epoch))
+        if (!isLeaving) refresh(wall)
+    }
+
+    private suspend fun continueWith(change: SlotChange.Acquired, wall: WallTime) {
+        val journal = current ?: return
+        journal.shareBudget(change.table.owners.size)
+        if (change.slots.isNotEmpty()) {
+            journal.admit(change.slots, change.table.slots.size, change.history)
+            report(SlotNotice.Took(journal.epoch, change.slots.size, change.history.size))
+        }
+        if (change.held.size > change.table.share()) startRebalancing(journal)
+        if (steps++ % TRIM_STEPS == 0L) trim(change.table, journal, wall)
+    }
+
+    private suspend fun trim(table: SlotTable, journal: ClaimJournal, wall: WallTime) {
+        session.trim(table, journal.epoch, wall - settings.retention)
+            .onFailure { report(SlotNotice.Failed(it)) }
+    }
+
+    private fun startRebalancing(journal: ClaimJournal) {
+        isRebalancing = true
+        journal.startDraining()
+    }
+
+    /** Ends the epoch once it is quiet; the next one takes its share, which leaves the rest to other owners. */
+    private suspend fun rebalance() {
+        session.keepAlive().onFailure { report(SlotNotice.Failed(it)) }
+        val journal = current
+        if (journal == null) isRebalancing = false
+        if (journal != null && journal.isQuiet) retire(journal)
+    }
+
+    private suspend fun leaveStep() {
+        val journal = current
+        if (journal == null) {
+            session.close()
+            hasLeft = true
+            return
+        }
+        journal.startDraining()
+        session.keepAlive().onFailure { report(SlotNotice.Failed(it)) }
+        if (journal.isQuiet) retire(journal)
+    }
+
+    private suspend fun retire(journal: ClaimJournal) {
+        session.retire(journal.epoch)
+            .onSuccess { end(journal) }
+            .onFailure { report(SlotNotice.Failed(it)) }
+    }
+
+    private fun end(journal: ClaimJournal) {
+        session.onEnded()
+        current = null
+        report(SlotNotice.Ended(journal.epoch))
+    }
+
+    private companion object {
+        const val TRIM_STEPS = 10L
+    }
+}
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotSession.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotSession.kt
@@ -50,7 +50,7 @@
         return keeper.takeOver(epoch, served).map { change ->
             when (change) {
                 is SlotChange.Acquired -> SlotStep.Continued(change)
-                is SlotChange.Lost -> SlotStep.Ended.also { onEnded() }
+                is SlotChange.Lost -> SlotStep.Ended
             }
         }
     }
@@ -69,7 +69,7 @@
     }
 
     /** Ends [epoch] on purpose and frees its slots. */
-    suspend fun retire(epoch: Epoch): Result<Unit, StoreFault> = keeper.retire(epoch).map { onEnded() }
+    suspend fun retire(epoch: Epoch): Result<Unit, StoreFault> = keeper.retire(epoch)
 
     /** Gives the lease back. */
     suspend fun close() {
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/sidecar/call/CallOwner.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/sidecar/call/CallOwner.kt
@@ -1,9 +1,12 @@
 package io.mimosatrail.daemon.sidecar.call
 
 import com.github.michaelbull.result.mapBoth
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.mimosatrail.core.calls.CallKeys
 import io.mimosatrail.core.calls.CallSettings
 import io.mimosatrail.core.calls.ClaimJournal
+import io.mimosatrail.core.calls.SlotDuty
+import io.mimosatrail.core.calls.SlotNotice
 import io.mimosatrail.core.calls.SlotSession
 import io.mimosatrail.core.calls.WallTime
 import io.mimosatrail.core.config.PlainService
@@ -25,11 +28,14 @@
 import io.mimosatrail.upstream.UpstreamError
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val log = KotlinLogging.logger("calls")
+
 private val JOURNAL_TICK = 10.milliseconds
 private val SLOT_TICK = 1.seconds
 private const val RETRY_MILLIS = 200L
@@ -48,8 +54,9 @@
     private val keys = CallKeys(service)
     private val counters = CallCounters(host.meters)
     private val session = SlotSession(service, host.self.id, host.self.address, host.store, ::newNonce)
-    private val duty = SlotDuty(session, settings, ::slotCount, ::newJournal)
-    private val journals: MutableSet<JournalHost> = ConcurrentHashMap.newKeySet()
+    private val duty = SlotDuty(session, settings, ::slotCount, ::newJournal, ::onNotice)
+    private val stepping = Mutex()
+    private val journals = ConcurrentHashMap<Epoch, JournalHost>()
     private val drained = CompletableDeferred<Unit>()
 
     @Volatile
@@ -71,30 +78,35 @@
 
     override fun startDraining() {
         isDraining = true
-        host.scope.launch {
-            duty.leave()
-            step()
-        }
+        duty.leave()
+        host.scope.launch { step() }
     }
 
     override suspend fun awaitDrained() = drained.await()
 
     private suspend fun step() {
-        duty.step()
+        if (!stepping.tryLock()) return
+        try {
+            duty.step(wall())
+        } finally {
+            stepping.unlock()
+        }
         if (isDraining && duty.hasLeft && counters.waiting.get() == 0) drained.complete(Unit)
     }
 
     private fun tick() {
-        journals.forEach { it.tick() }
-        journals.removeIf { it !== duty.current && it.isQuiet }
+        journals.values.forEach { it.tick() }
+        journals.entries.removeIf { (epoch, journal) -> isOver(epoch) && journal.isQuiet }
     }
 
+    private fun isOver(epoch: Epoch) = duty.current.let { it != null && epoch < it.epoch }
+
     private suspend fun handle(call: PlainCall): PeerMessage {
         if (call.service != service) return refuse(RefusalReason.NOT_FOUND, "this upstream serves $service", null)
         counters.waiting.incrementAndGet()
         try {
             val key = call.key ?: return withLoad(lookUp(call))
-            val journal = duty.current
+            val journal = duty.current?.let { journals[it.epoch] }
                 ?: return withLoad(refuse(RefusalReason.STALE, "this instance owns no slots yet", RETRY_MILLIS))
             return withLoad(journal.call(call, key))
         } finally {
@@ -132,9 +144,18 @@
 
     private fun slotCount(): Int? = (host.configuration().services[service] as? PlainService)?.slots
 
-    private fun newJournal(epoch: Epoch): JournalHost {
+    private fun newJournal(epoch: Epoch): ClaimJournal {
         val journal = ClaimJournal(epoch, host.self.id, settings, ::newNonce, counters::onViolated)
-        return JournalHost(host, plain, keys, counters, wall, journal).also { journals += it }
+        journals[epoch] = JournalHost(host, plain, keys, counters, wall, journal)
+        return journal
+    }
+
+    private fun onNotice(notice: SlotNotice) = when (notice) {
+        is SlotNotice.Began -> log.info { "calls: epoch ${notice.epoch} began" }
+        is SlotNotice.Took ->
+            log.info { "calls: epoch ${notice.epoch} took ${notice.slots} slots with ${notice.claims} claims" }
+        is SlotNotice.Ended -> log.info { "calls: epoch ${notice.epoch} ended" }
+        is SlotNotice.Failed -> log.warn { "calls: ${notice.fault.detail}" }
     }
 
     private fun newNonce() = WriterNonce(UUID.randomUUID().toString())
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/sidecar/call/JournalHost.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/sidecar/call/JournalHost.kt
@@ -47,12 +47,8 @@
     private val attempts = ConcurrentHashMap<AttemptId, Waiting>()
     private val numbers = AtomicLong()
 
-    val epoch get() = journal.epoch
-    val isLost: Boolean get() = locked { isLost }
-    val isQuiet: Boolean get() = locked { isQuiet }
-
-    /** Decides under the journal's lock. */
-    fun <T> locked(block: ClaimJournal.() -> T): T = synchronized(journal) { journal.block() }
+    /** True when nothing is in flight. */
+    val isQuiet: Boolean get() = journal.isQuiet
 
     /** Runs [call] under [key], or tells what is known of it. */
     suspend fun call(call: PlainCall, key: IdempotencyKey): PeerMessage {
@@ -60,16 +56,16 @@
         val waiting = Waiting(call, CompletableDeferred())
         attempts[attempt.id] = waiting
         try {
-            apply(locked { onCall(attempt, time()) })
+            apply(journal.onCall(attempt, time()))
             return waiting.reply.await().toMessage()
         } finally {
             attempts.remove(attempt.id)
         }
     }
 
-    fun tick() = apply(locked { tick(time()) })
+    fun tick() = apply(journal.tick(time()))
 
-    fun time() = CallTime(host.clock(), wall())
+    private fun time() = CallTime(host.clock(), wall())
 
     private fun attemptOf(call: PlainCall, key: ClaimKey): CallAttempt {
         val hash = RequestHash.of(call.method, call.path, call.body)
@@ -87,7 +83,7 @@
     }
 
     private suspend fun append(effect: CallEffect.Append) {
-        val key = keys.record(epoch, effect.sequence)
+        val key = keys.record(journal.epoch, effect.sequence)
         counters.onJournalWrite()
         val reply = try {
             host.store(StoreCommand.Put(key, CallCodec.encode(effect.record), expected = StoreRevision(0)))
@@ -96,14 +92,14 @@
         } catch (e: Exception) {
             StoreReply.Uncertain(e.message ?: e.javaClass.simpleName)
         }
-        apply(locked { onAppended(reply, time()) })
+        apply(journal.onAppended(reply, time()))
     }
 
     private fun run(attempt: AttemptId) {
         val waiting = attempts[attempt]
         host.scope.launch {
             val result = waiting?.let { send(it.call) } ?: RunResult.NotRun("the caller left before the call was sent")
-            apply(locked { onResult(attempt, result, time()) })
+            apply(journal.onResult(attempt, result, time()))
         }
     }
 
@@ -126,7 +122,7 @@
 
     private fun onLost() {
         counters.onEpochLost()
-        log.warn { "calls: epoch $epoch was sealed by another instance" }
+        log.warn { "calls: epoch ${journal.epoch} was sealed by another instance" }
     }
 
     private fun CallDecision.toMessage(): PeerMessage = when (this) {
