--- a/core/src/main/kotlin/io/mimosatrail/core/calls/ClaimJournal.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/ClaimJournal.kt
@@ -61,6 +61,12 @@
         isDraining = true
     }
 
+    /** Takes new keys again. */
+    @Synchronized
+    fun stopDraining() {
+        isDraining = false
+    }
+
     @Synchronized
     fun onCall(attempt: CallAttempt, time: CallTime): List<CallEffect> {
         val claim = claims[attempt.key]
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotDuty.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotDuty.kt
@@ -26,7 +26,8 @@
     private val newJournal: (Epoch) -> ClaimJournal,
     private val report: (SlotNotice) -> Unit,
 ) {
-    private var isRebalancing = false
+    private var rebalancing: Rebalancing? = null
+    private var restSteps = 0
     private var steps = 0L
 
     @Volatile
@@ -50,10 +51,11 @@
 
     /** One step of the duty, at [wall]. */
     suspend fun step(wall: WallTime) {
+        if (hasLeft) return
         current?.takeIf { it.isLost }?.let(::end)
         when {
             isLeaving -> leaveStep()
-            isRebalancing -> rebalance()
+            rebalancing != null -> rebalance()
             else -> refresh(wall)
         }
     }
@@ -85,7 +87,8 @@
             journal.admit(change.slots, change.table.slots.size, change.history)
             report(SlotNotice.Took(journal.epoch, change.slots.size, change.history.size))
         }
-        if (change.held.size > change.table.share()) startRebalancing(journal)
+        if (restSteps > 0) restSteps--
+        if (restSteps == 0 && change.held.size > change.table.share()) startRebalancing(journal)
         if (steps++ % TRIM_STEPS == 0L) trim(change.table, journal, wall)
     }
 
@@ -95,43 +98,49 @@
     }
 
     private fun startRebalancing(journal: ClaimJournal) {
-        isRebalancing = true
+        rebalancing = Rebalancing(journal)
         journal.startDraining()
     }
 
-    /** Ends the epoch once it is quiet; the next one takes its share, which leaves the rest to other owners. */
+    /** Ends the epoch once nothing is in flight, so that the next one takes an even share; long calls put it off. */
     private suspend fun rebalance() {
+        val current = rebalancing ?: return
+        current.steps++
         session.keepAlive().onFailure { report(SlotNotice.Failed(it)) }
-        val journal = current
-        if (journal == null) isRebalancing = false
-        if (journal != null && journal.isQuiet) retire(journal)
+        when {
+            current.journal.isQuiet -> end(current.journal)
+            current.steps >= MAX_REBALANCING_STEPS -> putOff(current)
+        }
+    }
+
+    private fun putOff(rebalancing: Rebalancing) {
+        rebalancing.journal.stopDraining()
+        this.rebalancing = null
+        restSteps = REST_STEPS
     }
 
     private suspend fun leaveStep() {
         val journal = current
-        if (journal == null) {
-            session.close()
-            hasLeft = true
-            return
-        }
-        journal.startDraining()
+        journal?.startDraining()
         session.keepAlive().onFailure { report(SlotNotice.Failed(it)) }
-        if (journal.isQuiet) retire(journal)
-    }
-
-    private suspend fun retire(journal: ClaimJournal) {
-        session.retire(journal.epoch)
-            .onSuccess { end(journal) }
+        if (journal != null && !journal.isQuiet) return
+        session.leave(journal?.epoch)
+            .onSuccess { hasLeft = true }
             .onFailure { report(SlotNotice.Failed(it)) }
     }
 
     private fun end(journal: ClaimJournal) {
-        session.onEnded()
+        session.onEnded(journal.epoch)
         current = null
+        rebalancing = null
         report(SlotNotice.Ended(journal.epoch))
     }
 
+    private class Rebalancing(val journal: ClaimJournal, var steps: Int = 0)
+
     private companion object {
         const val TRIM_STEPS = 10L
+        const val MAX_REBALANCING_STEPS = 5
+        const val REST_STEPS = 30
     }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
@@ -63,6 +63,16 @@
         }.map { }
     }
 
+    /**
+     * Seals the journal of [epoch] and begins another under [nonce] that holds an even share of the slots; the rest is
+     * free. In one change, since another owner would otherwise take all of them.
+     */
+    suspend fun renew(epoch: Epoch, nonce: WriterNonce): Result<Epoch, StoreFault> = seal(setOf(epoch))
+        .andThen {
+            tables.update { checkNotNull(it) { "a table with owners is never deleted" }.renew(epoch, nonce) }
+        }
+        .map { table -> table.owners.first { it.nonce == nonce }.epoch }
+
     /** Deletes records written before [bound] from this owner's journal and from one sealed journal of [table]. */
     suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> =
         journals.trim(epoch, bound).andThen { trimSealed(table, bound) }
@@ -89,6 +99,12 @@
     private fun SlotTable.with(nonce: WriterNonce): SlotTable =
         if (owners.any { it.nonce == nonce }) this else register(self, address, nonce)
 
+    private fun SlotTable.renew(old: Epoch, nonce: WriterNonce): SlotTable {
+        if (owners.any { it.nonce == nonce }) return this
+        val renewed = retire(setOf(old)).register(self, address, nonce)
+        return renewed.takeFree(renewed.owners.last().epoch)
+    }
+
     private fun SlotTable?.orEmpty(template: SlotTable): SlotTable =
         this ?: SlotTable(List(template.slots.size) { null })
 
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotSession.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotSession.kt
@@ -40,13 +40,14 @@
     private val keys = CallKeys(service)
     private val keeper = SlotKeeper(service, self, address, store, nonces)
     private var nonce = nonces()
+    private var ended: Epoch? = null
     private var lease: LeaseId? = null
     private var isAnnounced = false
 
     /** Renews the lease, then begins an epoch or looks for slots to take over; [served] are served already. */
     suspend fun refresh(epoch: Epoch?, served: Set<SlotId>, slotCount: Int): Result<SlotStep, StoreFault> {
         keepAlive().onFailure { return Err(it) }
-        if (epoch == null) return keeper.register(nonce, slotCount).map { SlotStep.Began(it) }
+        if (epoch == null) return begin(slotCount).map { SlotStep.Began(it) }
         return keeper.takeOver(epoch, served).map { change ->
             when (change) {
                 is SlotChange.Acquired -> SlotStep.Continued(change)
@@ -55,10 +56,14 @@
         }
     }
 
-    /** The next epoch is registered under a new nonce. */
-    fun onEnded() {
+    /**
+     * Notes that [epoch] is over, lost or given up. The next one is registered under a new nonce and lease, so that
+     * nothing of the old one looks alive; its journal is sealed by then.
+     */
+    fun onEnded(epoch: Epoch) {
+        ended = epoch
         nonce = nonces()
-        isAnnounced = false
+        forgetLease()
     }
 
     /** Renews the lease only; for an owner that is about to leave. */
@@ -68,19 +73,23 @@
         return if (isAnnounced) Ok(Unit) else announce()
     }
 
-    /** Ends [epoch] on purpose and frees its slots. */
-    suspend fun retire(epoch: Epoch): Result<Unit, StoreFault> = keeper.retire(epoch)
-
-    /** Gives the lease back. */
-    suspend fun close() {
+    /** Frees the slots of [epoch], or of the epoch that ended last, and gives the lease back. */
+    suspend fun leave(epoch: Epoch?): Result<Unit, StoreFault> {
+        val last = epoch ?: ended
+        if (last != null) keeper.retire(last).onFailure { return Err(it) }
         lease?.let { store(StoreCommand.Revoke(it)) }
-        lease = null
+        return Ok(Unit)
     }
 
     /** Deletes journal records written before [bound]. */
     suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> =
         keeper.trim(table, epoch, bound)
 
+    private suspend fun begin(slotCount: Int): Result<Epoch, StoreFault> {
+        val last = ended ?: return keeper.register(nonce, slotCount)
+        return keeper.renew(last, nonce)
+    }
+
     private suspend fun renew(current: LeaseId): Result<Unit, StoreFault> =
         when (val reply = store(StoreCommand.Renew(current))) {
             is StoreReply.Lease -> Ok(Unit)
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/front/AnswerWriter.kt
@@ -2,10 +2,10 @@
 
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.pipeline.FinishReason
 import io.mimosatrail.daemon.http.Problem
 import io.mimosatrail.daemon.http.httpJson
 import io.mimosatrail.daemon.http.toProblem
-import io.mimosatrail.protocol.FinishReason
 
 /** Writes the answer of one model request in the shape that the caller asked for. */
 internal class AnswerWriter(private val request: RequestId, private val query: ModelQuery) {
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/stream/StreamEvent.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/stream/StreamEvent.kt
@@ -1,7 +1,7 @@
 package io.mimosatrail.daemon.entry.stream
 
 import io.mimosatrail.core.outcome.Refusal
-import io.mimosatrail.protocol.FinishReason
+import io.mimosatrail.core.pipeline.FinishReason
 
 /** What a caller sees of a stream: tokens in order, then exactly one [Finished] or [Failed]. */
 sealed interface StreamEvent {
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
@@ -29,6 +29,7 @@
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
 import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.pipeline.FinishReason
 import io.mimosatrail.core.store.StoreReply
 import io.mimosatrail.core.time.TimerService
 import io.mimosatrail.core.time.systemClock
@@ -38,7 +39,6 @@
 import io.mimosatrail.daemon.host.Host
 import io.mimosatrail.daemon.host.MessageRouter
 import io.mimosatrail.protocol.CallAnswer
-import io.mimosatrail.protocol.FinishReason
 import io.mimosatrail.protocol.PeerNode
 import io.mimosatrail.protocol.PeerSettings
 import kotlinx.coroutines.CoroutineScope
