--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,8 +1,18 @@
 package io.mimosatrail.bench.run
 
+<<<<<<< HEAD
 import io.mimosatrail.bench.journal.journalBench
 
 /** Every benchmark, in the order of the help page. */
 internal val allBenches: List<Bench> = listOf(
     journalBench,
+=======
+import io.mimosatrail.bench.routing.routingBench
+import io.mimosatrail.bench.throughput.throughputBench
+
+/** Every benchmark, in the order of the help page. */
+internal val allBenches: List<Bench> = listOf(
+    throughputBench,
+    routingBench,
+>>>>>>> main
 )
