--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/call/KeyedCall.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/call/KeyedCall.kt
@@ -3,9 +3,11 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import io.mimosatrail.core.calls.ClaimKey
 import io.mimosatrail.core.calls.SlotOwner
+import io.mimosatrail.core.calls.StoreFault
 import io.mimosatrail.core.id.IdempotencyKey
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.outcome.Outcome
@@ -41,7 +43,9 @@
         var pause = FIRST_PAUSE
         var wrong = false
         while (host.clock() + pause < call.deadline || !wrong) {
-            val owner = owners.ownerOf(ClaimKey(call.workspace, key), wrong)
+            val owner = owners.ownerOf(ClaimKey(call.workspace, key), wrong).getOrElse {
+                return Err(honest(storeDown(it)))
+            }
             if (owner != null) ask(owner)?.let { return it }
             if (mayHaveRun && call.keyIsMinted) break
             wrong = true
@@ -84,6 +88,9 @@
         return null
     }
 
+    private fun storeDown(fault: StoreFault) =
+        refusal(RefusalReason.STORE_UNAVAILABLE, null, "the slots' owners are not known: ${fault.detail}")
+
     private fun honest(refusal: Refusal): Refusal =
         if (mayHaveRun && refusal.outcome == Outcome.NOT_RUN) refusal.copy(outcome = Outcome.UNKNOWN) else refusal
 
