--- a/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallVerdict.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallVerdict.kt
@@ -3,13 +3,19 @@
 import io.mimosatrail.core.calls.CallDecision
 import io.mimosatrail.core.calls.CallInvariant
 import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
 
 /** One attempt of a caller; [decision] is null where no answer reached it. */
 internal class SimulatedAttempt(val call: SimulatedCall, val isLast: Boolean) {
     var decision: CallDecision? = null
 
-    val isNotRun: Boolean get() = (decision as? CallDecision.Refuse)?.refusal?.outcome == Outcome.NOT_RUN
+    val isNotRun: Boolean get() = refusal?.outcome == Outcome.NOT_RUN
+
+    /** True where another owner may take the call. */
+    val isElsewhere: Boolean get() = isNotRun && refusal?.reason in setOf(RefusalReason.STALE, RefusalReason.DRAINING)
+
+    private val refusal: Refusal? get() = (decision as? CallDecision.Refuse)?.refusal
 
     /** True for neither an answer nor an honest end; a key that another body holds is served. */
     fun isUnserved(): Boolean = when (val decision = decision) {
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/ClaimJournal.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/ClaimJournal.kt
@@ -55,6 +55,14 @@
         writer.owners = owners
     }
 
+    /** The oldest record where it is past retention at [wall] and may be deleted. */
+    @Synchronized
+    fun oldestExpired(wall: WallTime): Long? = writer.oldestBefore(wall - settings.retention).takeUnless { isLost }
+
+    /** Notes that the oldest record is deleted. */
+    @Synchronized
+    fun onDeleted(sequence: Long) = writer.onDeleted(sequence)
+
     /** Refuses keys that are not known yet. */
     @Synchronized
     fun startDraining() {
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/JournalStore.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/JournalStore.kt
@@ -45,32 +45,64 @@
         scan(epoch) { _, record -> if (record is JournalRecord.Batch) history.add(record, accepts) }
 
     /**
-     * Deletes records of [epoch] that were written before [bound], oldest first. The last record stays, since an append
-     * must find its sequence taken. Answers true where nothing but the seal is left.
+     * Deletes up to one page of records of the sealed journal of [epoch] that were written before [bound], oldest first.
+     * The seal stays for ever, since a late append must find its sequence taken. Answers true where only it is left.
      */
     suspend fun trim(epoch: Epoch, bound: WallTime): Result<Boolean, StoreFault> {
-        val page = page(epoch, after = null).getOrElse { return Err(it) }
+        val page = page(epoch, after = null, TRIM_RECORDS).getOrElse { return Err(it) }
         for (value in page.values.dropLast(1)) {
             val record = CallCodec.record(value.value)
             if (record !is JournalRecord.Batch || record.written >= bound) return Ok(false)
-            val reply = store(StoreCommand.Delete(value.key, value.revision))
-            if (reply !is StoreReply.Written) return Err(StoreFault("a record was not deleted: $reply"))
+            delete(epoch, keys.sequenceOf(value.key)).onFailure { return Err(it) }
         }
         return Ok(!page.more && page.values.lastOrNull().isSeal())
     }
 
-    /** The first empty sequence; null where the journal is sealed. */
+    /** Deletes one record. Records go in order of sequence, so that those left have no gap. */
+    suspend fun delete(epoch: Epoch, sequence: Long): Result<Unit, StoreFault> =
+        when (val reply = store(StoreCommand.Delete(keys.record(epoch, sequence), expected = null))) {
+            is StoreReply.Written -> Ok(Unit)
+            else -> Err(StoreFault("a record of epoch $epoch was not deleted: $reply"))
+        }
+
+    /**
+     * The first empty sequence; null where the journal is sealed. Records have no gap, so that the last is found by
+     * doubling steps from the first, then by halving.
+     */
     private suspend fun end(epoch: Epoch): Result<Long?, StoreFault> {
-        var end: Long? = 0L
-        scan(epoch) { key, record -> end = if (record is JournalRecord.Seal) null else keys.sequenceOf(key) + 1 }
-            .onFailure { return Err(it) }
-        return Ok(end)
+        val first = page(epoch, after = null, limit = 1).getOrElse { return Err(it) }.values.firstOrNull()
+        first ?: return Ok(0)
+        var last: StoredValue = first
+        var step = 1L
+        while (step > 0) {
+            val next = get(epoch, keys.sequenceOf(last.key) + step).getOrElse { return Err(it) }
+            step = if (next == null) -(step / 2) else step * 2
+            last = next ?: last
+        }
+        return halve(epoch, last, -step)
     }
 
+    /** Finds the end within [step] records after [known]. */
+    private suspend fun halve(epoch: Epoch, known: StoredValue, step: Long): Result<Long?, StoreFault> {
+        var last = known
+        var rest = step
+        while (rest > 0) {
+            val next = get(epoch, keys.sequenceOf(last.key) + rest).getOrElse { return Err(it) }
+            if (next == null) rest /= 2 else last = next
+        }
+        return Ok(if (last.isSeal()) null else keys.sequenceOf(last.key) + 1)
+    }
+
+    private suspend fun get(epoch: Epoch, sequence: Long): Result<StoredValue?, StoreFault> =
+        when (val reply = store(StoreCommand.Get(keys.record(epoch, sequence)))) {
+            is StoreReply.Value -> Ok(reply.value)
+            else -> Err(StoreFault("the journal of epoch $epoch was not read: $reply"))
+        }
+
     private suspend fun scan(epoch: Epoch, visit: (StoreKey, JournalRecord) -> Unit): Result<Unit, StoreFault> {
         var after: StoreKey? = null
         do {
-            val page = page(epoch, after).getOrElse { return Err(it) }
+            val page = page(epoch, after, PAGE_RECORDS).getOrElse { return Err(it) }
             for (value in page.values) {
                 val record = CallCodec.record(value.value) ?: return Err(StoreFault("${value.key} is not readable"))
                 visit(value.key, record)
@@ -80,8 +112,8 @@
         return Ok(Unit)
     }
 
-    private suspend fun page(epoch: Epoch, after: StoreKey?): Result<StoreReply.Values, StoreFault> =
-        when (val reply = store(StoreCommand.List(keys.journal(epoch), after, PAGE_RECORDS))) {
+    private suspend fun page(epoch: Epoch, after: StoreKey?, limit: Int): Result<StoreReply.Values, StoreFault> =
+        when (val reply = store(StoreCommand.List(keys.journal(epoch), after, limit))) {
             is StoreReply.Values -> Ok(reply)
             else -> Err(StoreFault("the journal of epoch $epoch was not read: $reply"))
         }
@@ -89,6 +121,7 @@
     private fun StoredValue?.isSeal() = this != null && CallCodec.record(value) is JournalRecord.Seal
 
     private companion object {
-        const val PAGE_RECORDS = 20
+        const val PAGE_RECORDS = 100
+        const val TRIM_RECORDS = 20
     }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/JournalWriter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/JournalWriter.kt
@@ -12,10 +12,13 @@
     var retryAt: Moment? = null
 }
 
+private class KeptRecord(val sequence: Long, val written: WallTime)
+
 /** Gathers claims and outcomes into records: one write outstanding, at a bounded rate. */
 internal class JournalWriter(private val settings: CallSettings, private val nonces: () -> WriterNonce) {
     private val outcomes = ArrayDeque<JournalEntry>()
     private val claims = LinkedHashSet<Claim>()
+    private val kept = ArrayDeque<KeptRecord>()
     private var sequence = 0L
     private var oldestOutcome: Moment? = null
     private var lastWrite: Moment? = null
@@ -58,8 +61,19 @@
 
     /** The outstanding record stands in the store. */
     fun settled(): List<Claim> {
-        sequence++
-        return checkNotNull(outstanding).claims.also { outstanding = null }
+        val settled = checkNotNull(outstanding)
+        kept += KeptRecord(sequence++, settled.append.record.written)
+        outstanding = null
+        return settled.claims
+    }
+
+    /** The oldest record where it was written before [bound]; never the last one, which marks the journal's end. */
+    fun oldestBefore(bound: WallTime): Long? =
+        kept.firstOrNull()?.takeIf { kept.size > 1 && it.written < bound }?.sequence
+
+    /** Notes that the oldest record is deleted. */
+    fun onDeleted(sequence: Long) {
+        if (kept.firstOrNull()?.sequence == sequence) kept.removeFirst()
     }
 
     /** The outstanding record does not stand in the store and never will; outcomes are queued again. */
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotDuty.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotDuty.kt
@@ -89,12 +89,20 @@
         }
         if (restSteps > 0) restSteps--
         if (restSteps == 0 && change.held.size > change.table.share()) startRebalancing(journal)
-        if (steps++ % TRIM_STEPS == 0L) trim(change.table, journal, wall)
+        trim(change.table, journal, wall)
     }
 
+    /** Deletes what is past retention, within the write budget; one owner looks after the sealed journals. */
     private suspend fun trim(table: SlotTable, journal: ClaimJournal, wall: WallTime) {
-        session.trim(table, journal.epoch, wall - settings.retention)
-            .onFailure { report(SlotNotice.Failed(it)) }
+        repeat(settings.writesPerSecond / table.owners.size) {
+            val sequence = journal.oldestExpired(wall) ?: return@repeat
+            session.delete(journal.epoch, sequence)
+                .onSuccess { journal.onDeleted(sequence) }
+                .onFailure { fault -> return report(SlotNotice.Failed(fault)) }
+        }
+        val isFirst = table.owners.minOf { it.epoch } == journal.epoch
+        if (!isFirst || steps++ % TRIM_STEPS != 0L) return
+        session.trimSealed(table, wall - settings.retention).onFailure { report(SlotNotice.Failed(it)) }
     }
 
     private fun startRebalancing(journal: ClaimJournal) {
@@ -139,7 +147,7 @@
     private class Rebalancing(val journal: ClaimJournal, var steps: Int = 0)
 
     private companion object {
-        const val TRIM_STEPS = 10L
+        const val TRIM_STEPS = 5L
         const val MAX_REBALANCING_STEPS = 5
         const val REST_STEPS = 30
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
@@ -73,11 +73,11 @@
         }
         .map { table -> table.owners.first { it.nonce == nonce }.epoch }
 
-    /** Deletes records written before [bound] from this owner's journal and from one sealed journal of [table]. */
-    suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> =
-        journals.trim(epoch, bound).andThen { trimSealed(table, bound) }
+    /** Deletes a record of the own [epoch]. */
+    suspend fun delete(epoch: Epoch, sequence: Long): Result<Unit, StoreFault> = journals.delete(epoch, sequence)
 
-    private suspend fun trimSealed(table: SlotTable, bound: WallTime): Result<Unit, StoreFault> {
+    /** Deletes a page of records written before [bound] from the journal of [table] that was sealed first. */
+    suspend fun trimSealed(table: SlotTable, bound: WallTime): Result<Unit, StoreFault> {
         val oldest = table.sealed.firstOrNull() ?: return Ok(Unit)
         return journals.trim(oldest, bound).andThen { isEmpty ->
             if (isEmpty) tables.update { it.orEmpty(table).forget(oldest) }.map { } else Ok(Unit)
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotSession.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotSession.kt
@@ -81,9 +81,12 @@
         return Ok(Unit)
     }
 
-    /** Deletes journal records written before [bound]. */
-    suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> =
-        keeper.trim(table, epoch, bound)
+    /** Deletes a record of the own [epoch]. */
+    suspend fun delete(epoch: Epoch, sequence: Long): Result<Unit, StoreFault> = keeper.delete(epoch, sequence)
+
+    /** Deletes some records written before [bound] from the journal that was sealed first. */
+    suspend fun trimSealed(table: SlotTable, bound: WallTime): Result<Unit, StoreFault> =
+        keeper.trimSealed(table, bound)
 
     private suspend fun begin(slotCount: Int): Result<Epoch, StoreFault> {
         val last = ended ?: return keeper.register(nonce, slotCount)
