--- a/core/src/main/kotlin/io/mimosatrail/core/calls/CallSettings.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/CallSettings.kt
@@ -8,8 +8,9 @@
 /**
  * Bounds of the claim journal.
  *
- * All owners of a service together append [writesPerSecond] records and delete as many. A claim waits up to [storePatience] for the store. An
- * outcome waits up to [outcomeDelay] for claims to share its record. Keys are remembered for [retention].
+ * All owners of a service together append [writesPerSecond] records and delete as many. A claim waits up to
+ * [storePatience] for the store. An outcome waits up to [outcomeDelay] for claims to share its record. Keys are
+ * remembered for [retention].
  */
 data class CallSettings(
     val writesPerSecond: Int = 45,
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/JournalStore.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/JournalStore.kt
@@ -45,8 +45,8 @@
         scan(epoch) { _, record -> if (record is JournalRecord.Batch) history.add(record, accepts) }
 
     /**
-     * Deletes up to one page of records of the sealed journal of [epoch] that were written before [bound], oldest first.
-     * The seal stays for ever, since a late append must find its sequence taken. Answers true where only it is left.
+     * Deletes up to one page of records written before [bound] from the sealed journal of [epoch], oldest first. The
+     * seal stays for ever, since a late append must find its sequence taken. Answers true where only it is left.
      */
     suspend fun trim(epoch: Epoch, bound: WallTime): Result<Boolean, StoreFault> {
         val page = page(epoch, after = null, TRIM_RECORDS).getOrElse { return Err(it) }
