--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.bench.run
 
+import io.mimosatrail.bench.capacity.capacityBench
 import io.mimosatrail.bench.journal.journalBench
 import io.mimosatrail.bench.recovery.recoveryBench
 import io.mimosatrail.bench.routing.routingBench
@@ -11,4 +12,5 @@
     routingBench,
     journalBench,
     recoveryBench,
+    capacityBench,
 )
