Measure idle daemons in a bench of their own

Cause: the cost of control has a budget of 1.6% of a core and needs a longer window than the other slopes. Change: bin/bench idle.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/CapacityBench.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/CapacityBench.kt
@@ -16,8 +16,7 @@
             configurationSeries(options.quick) +
             listSeries() +
             journalSeries(options.quick) +
-            linkSeries(options.quick) +
-            idleSeries(options.quick)
+            linkSeries(options.quick)
         val slopes = series.flatMap { it.measure(options.seed) }
         slopes + Figure("capacity", "describe exchange", "bytes", describeBytes(), seed = options.seed)
     }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/IdleCost.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/IdleCost.kt
@@ -1,23 +1,36 @@
 package io.mimosatrail.bench.capacity
 
 import io.mimosatrail.bench.fleet.Fleet
+import io.mimosatrail.bench.run.Bench
+import io.mimosatrail.bench.run.Figure
+import io.mimosatrail.daemon.logging.LogFormat
+import io.mimosatrail.daemon.logging.LogLevel
+import io.mimosatrail.daemon.logging.setUpLogging
 import io.mimosatrail.daemon.settings.UpstreamKind
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+private const val PERCENT = "% of a core"
+
+/** Share of a core that control may use on a node. */
+private const val BUDGET_PERCENT = 1.6
 private const val MICROS_PER_SECOND = 1_000_000.0
 private val settle = 2.seconds
 
-/** Processor time of daemons without callers, their stand-ins included, against the daemons of one process. */
-internal fun idleSeries(quick: Boolean): List<Series> {
-    val window = if (quick) 2.seconds else 20.seconds
-    val counts = listOf(2, 4, 8, 16)
-    val warmUps = if (quick) 0 else WARM_UPS
-    return listOf(Series("idle daemons", "% of a core", "daemon", counts, warmUps) { idlePercent(it, window) })
+/** Processor time of daemons without callers against the budget for control, their stand-ins included. */
+internal val idleBench = Bench("idle", "processor time of a daemon without callers") { options ->
+    setUpLogging(LogFormat.TEXT, LogLevel.ERROR)
+    val window = if (options.quick) 4.seconds else 20.seconds
+    val warmUps = if (options.quick) 0 else WARM_UPS
+    val series = Series("idle daemons", PERCENT, "daemon", listOf(2, 4, 8, 16), warmUps) { idlePercent(it, window) }
+    series.measure(options.seed).map { it.copy(bench = "idle").withBudget() }
 }
 
+private fun Figure.withBudget() =
+    if (figure.endsWith("per daemon")) copy(target = BUDGET_PERCENT, met = value <= BUDGET_PERCENT) else this
+
 private fun idlePercent(daemons: Int, window: Duration): Double = runBlocking {
     Fleet("kiruna").use { fleet ->
         val upstream = fleet.plain()
--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.bench.run
 
 import io.mimosatrail.bench.capacity.capacityBench
+import io.mimosatrail.bench.capacity.idleBench
 import io.mimosatrail.bench.journal.journalBench
 import io.mimosatrail.bench.recovery.recoveryBench
 import io.mimosatrail.bench.routing.routingBench
@@ -13,4 +14,5 @@
     journalBench,
     recoveryBench,
     capacityBench,
+    idleBench,
 )
