Notice closed connections to stages at once

Change: peers report ended connections; the entry probes the streams through that stage at once and recovers when the probe can't be sent. Entries connect to every stage of a chain at its start. State that does not fit one frame is not sent.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/recovery/RecoveryCase.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/recovery/RecoveryCase.kt
@@ -15,9 +15,11 @@
     val forecast: RecoveryForecast,
     val stage: StageSettings,
     val stream: StreamSettings = StreamSettings(),
+    val silent: Boolean = false,
 ) {
     REPLACE("replace", observedForecast, StageSettings()),
     REPLACE_FROM_SNAPSHOT("replace-snapshot", observedForecast, StageSettings(snapshotTokens = 16)),
+    REPLACE_SILENT("replace-silent", observedForecast, StageSettings(), silent = true),
     REROUTE("reroute", withoutReplacement, StageSettings()),
     RESTART("restart", observedForecast, StageSettings(), StreamSettings(maxRecoveries = 0)),
 }
--- a/bench/src/main/kotlin/io/mimosatrail/bench/recovery/StallTrial.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/recovery/StallTrial.kt
@@ -52,7 +52,7 @@
         if (struck) return
         struck = true
         cluster.time.after(interToken * cluster.random.nextDouble()) {
-            cluster.stages.filter { it.sequences > 0 }.random(cluster.random).crash()
+            cluster.stages.filter { it.sequences > 0 }.random(cluster.random).crash(case.strategy.silent)
         }
     }
 
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
@@ -2,6 +2,7 @@
 
 import io.mimosatrail.core.id.Generation
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 
@@ -32,10 +33,12 @@
     /** Positions that a new chain has to run for the next token. */
     val positions: Int get() = spec.prompt.size + delivered.size
 
-    fun stage(instance: InstanceId): Stage? = chain.stages.firstOrNull { it.instance == instance }
+    /** True where the stage at [address] is part of the chain. */
+    fun passes(address: PeerAddress): Boolean = chain.stages.any { it.address == address }
 }
 
 /** Probes sent to the stages of a silent stream. */
 internal class ActiveProbe(val at: Moment) {
     val answers = HashMap<InstanceId, StageProgress>()
+    val unreachable = mutableSetOf<InstanceId>()
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/RestoredState.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/RestoredState.kt
@@ -10,4 +10,7 @@
 class RestoredState(val snapshot: KvSnapshot?, val input: ByteArray) {
     /** First position that has to run again. */
     val from: Int get() = snapshot?.positions ?: 0
+
+    /** Bytes of snapshot and input together. */
+    val bytes: Int get() = input.size + (snapshot?.state?.size ?: 0)
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageEmitter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageEmitter.kt
@@ -1,15 +1,17 @@
 package io.mimosatrail.core.pipeline
 
-import io.mimosatrail.core.id.Generation
 import io.mimosatrail.core.id.InstanceId
-import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.outcome.Outcome
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
 import io.mimosatrail.core.outcome.Step
 
 /** Builds the messages that a stage sends. */
-internal class StageEmitter(private val self: InstanceId, private val settings: StageSettings) {
+internal class StageEmitter(
+    private val self: InstanceId,
+    private val settings: StageSettings,
+    private val refusals: StageRefusals,
+) {
     /** Passes the last output on: to the next stage, or as a token to the entry and the first stage. */
     fun emit(sequence: StageSequence): List<StageEffect> {
         val frame = sequence.wanted ?: return emptyList()
@@ -35,9 +37,6 @@
         emptyList(),
     )
 
-    fun refusal(request: RequestId, generation: Generation, route: Route, refusal: Refusal): StageEffect =
-        StageEffect.Send(route.entry, route.entryAddress, StageRefusal(request, generation, self, refusal))
-
     fun progress(probe: StageProbe, sequence: StageSequence?): StageEffect {
         val index = sequence?.lastIndex ?: -1
         val running = sequence?.running != null
@@ -53,7 +52,7 @@
     }
 
     fun snapshot(sequence: StageSequence, snapshot: KvSnapshot): StageEffect? {
-        val to = sequence.previous ?: return null
+        val to = sequence.previous?.takeIf { snapshot.state.size <= settings.restoreBytes } ?: return null
         val message = StageSnapshot(sequence.request, sequence.generation, self, snapshot)
         return StageEffect.Send(to.instance, to.address, message)
     }
@@ -63,9 +62,9 @@
         val route = sequence.route
         val position = maxOf(frame.position, output.position)
         val restoring = first && route.restoring == next.instance
-        val restored = if (restoring) sequence.retained.restoredState(position) else null
+        val restored = if (restoring) restoredState(sequence, position) else null
         if (restoring && restored == null) {
-            return refusal(frame.request, sequence.generation, route, nothingKept())
+            return refusals.send(frame.request, sequence.generation, route, nothingKept())
         }
         val message = Frame(
             frame.request,
@@ -82,6 +81,9 @@
         return StageEffect.Send(next.instance, next.address, message)
     }
 
+    private fun restoredState(sequence: StageSequence, position: Int) =
+        sequence.retained.restoredState(position)?.takeIf { it.bytes <= settings.restoreBytes }
+
     private fun nothingKept() =
         Refusal(Outcome.UNKNOWN, RefusalReason.STALE, Step.STAGE, self, "the next stage's state is not kept")
 
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageSequence.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageSequence.kt
@@ -36,6 +36,26 @@
     val previous: Stage? get() = route.chain.stages.getOrNull(route.indexOf(stage.instance) - 1)
 }
 
+/** Engine work for [frame], of which the positions before [start] ran already. */
+internal fun StageSequence.workFor(frame: Frame, start: Int): StageWork {
+    val restore = frame.restore
+    val first = restore?.from ?: start
+    val perPosition = frame.input.size / frame.count
+    val input = restore?.let { it.input + frame.input }
+        ?: frame.input.copyOfRange((first - frame.position) * perPosition, frame.input.size)
+    return StageWork(
+        request,
+        name,
+        frame.index,
+        first,
+        frame.end - first,
+        input,
+        isFirst,
+        route.priority,
+        restore?.snapshot,
+    )
+}
+
 /** Output of positions [position] until [end]. */
 internal class StageOutput(val position: Int, val end: Int, val result: StageResult) {
     /** Activations of the positions from [start] on. */
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageTable.kt
@@ -4,15 +4,10 @@
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.net.PeerAddress
-import io.mimosatrail.core.outcome.Outcome
-import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
-import io.mimosatrail.core.outcome.Step
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration.Companion.milliseconds
 
-private const val RETRY_AFTER_MILLIS = 100L
-
 /**
  * The requests at one stage: which frames run, what is passed on, and what is kept for recovery.
  *
@@ -30,7 +25,8 @@
     private val sequences = HashMap<RequestId, StageSequence>()
     private val ended = EndedRequests(settings.endedMemory)
     private val heard = HashMap<InstanceId, Moment>()
-    private val emitter = StageEmitter(self, settings)
+    private val refusals = StageRefusals(self)
+    private val emitter = StageEmitter(self, settings, refusals)
     private var opened = 0L
 
     /** True where the stage takes no new requests. */
@@ -64,7 +60,7 @@
         sequence.running = null
         return when {
             result is StageResult.Failed -> dropFailed(sequence, result, now)
-            !fits(sequence, work, result) ->
+            !result.fits(work, sequence.isLast) ->
                 dropFailed(sequence, StageResult.Failed("the engine's output has the wrong size", false), now)
             else -> ran(sequence, work, result, now)
         }
@@ -81,8 +77,7 @@
         if (message !is Frame && message !is SampledToken) return emptyList()
         val sequence = sequences[message.request]?.takeIf { it.generation == message.generation }
         val peer = sequence?.route?.chain?.stages?.firstOrNull { it.address == to } ?: return emptyList()
-        val refusal = Refusal(Outcome.UNKNOWN, RefusalReason.PEER_LOST, Step.STAGE, peer.instance, "can't be reached")
-        return listOf(emitter.refusal(message.request, sequence.generation, sequence.route, refusal))
+        return listOf(refusals.unreachable(sequence, peer.instance))
     }
 
     /** Ends requests whose deadline passed or whose entry is silent. */
@@ -180,41 +175,13 @@
     }
 
     private fun run(sequence: StageSequence, frame: Frame, now: Moment): List<StageEffect> {
-        val work = workOf(sequence, frame)
+        val work = sequence.workFor(frame, if (checks.duplicates) sequence.held else frame.position)
         if (sequence.deadline <= now) return listOf(end(sequence, sequence.generation, now))
         sequence.wanted = frame
         sequence.running = work
         return listOf(StageEffect.Run(work))
     }
 
-    private fun workOf(sequence: StageSequence, frame: Frame): StageWork {
-        val restore = frame.restore
-        val start = restore?.from ?: if (checks.duplicates) sequence.held else frame.position
-        val perPosition = frame.input.size / frame.count
-        val input = restore?.let { it.input + frame.input }
-            ?: frame.input.copyOfRange((start - frame.position) * perPosition, frame.input.size)
-        return StageWork(
-            frame.request,
-            sequence.name,
-            frame.index,
-            start,
-            frame.end - start,
-            input,
-            sequence.isFirst,
-            sequence.route.priority,
-            restore?.snapshot,
-        )
-    }
-
-    private fun fits(sequence: StageSequence, work: StageWork, result: StageResult) = when (result) {
-        is StageResult.Activations ->
-            !sequence.isLast &&
-                result.bytes.isNotEmpty() &&
-                result.bytes.size % work.count == 0
-        is StageResult.Token -> sequence.isLast
-        is StageResult.Failed -> false
-    }
-
     private fun ran(sequence: StageSequence, work: StageWork, result: StageResult, now: Moment): List<StageEffect> {
         sequence.held = work.end
         sequence.lastIndex = work.index
@@ -266,23 +233,14 @@
         return StageEffect.Free(sequence.name)
     }
 
-    private fun dropFailed(sequence: StageSequence, failed: StageResult.Failed, now: Moment): List<StageEffect> {
-        val reason = if (failed.notRun) RefusalReason.BUSY else RefusalReason.UPSTREAM_ERROR
-        val unrun = failed.notRun && sequence.lastIndex == null && sequence.isFirst
-        val outcome = if (unrun) Outcome.NOT_RUN else Outcome.UNKNOWN
-        val refusal = Refusal(outcome, reason, Step.STAGE, self, failed.detail, RETRY_AFTER_MILLIS)
-        val sent = emitter.refusal(sequence.request, sequence.generation, sequence.route, refusal)
-        return listOf(end(sequence, sequence.generation, now), sent)
-    }
+    private fun dropFailed(sequence: StageSequence, failed: StageResult.Failed, now: Moment): List<StageEffect> =
+        listOf(end(sequence, sequence.generation, now), refusals.failed(sequence, failed))
 
     private fun violate(route: Route, frame: Frame, detail: String): List<StageEffect> {
         violated(InvariantViolation(frame.request, self, detail))
         return refuse(route, frame, RefusalReason.INVARIANT, detail)
     }
 
-    private fun refuse(route: Route, frame: Frame, reason: RefusalReason, detail: String): List<StageEffect> {
-        val outcome = if (frame.nextLayer == 0 && frame.position == 0) Outcome.NOT_RUN else Outcome.UNKNOWN
-        val refusal = Refusal(outcome, reason, Step.STAGE, self, detail, RETRY_AFTER_MILLIS)
-        return listOf(emitter.refusal(frame.request, frame.generation, route, refusal))
-    }
+    private fun refuse(route: Route, frame: Frame, reason: RefusalReason, detail: String): List<StageEffect> =
+        listOf(refusals.frame(route, frame, reason, detail))
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StallDiagnosis.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StallDiagnosis.kt
@@ -15,14 +15,17 @@
 )
 
 /** Finds the stages at fault for the stall of a stream, from the answers to probes. */
-internal class StallDiagnosis(private val stream: ActiveStream, private val answers: Map<InstanceId, StageProgress>) {
+internal class StallDiagnosis(private val stream: ActiveStream, private val probe: ActiveProbe) {
+    private val answers get() = probe.answers
     private val stages = stream.chain.stages.map { it.instance }
 
-    /** True where every stage answered. */
-    val isComplete: Boolean get() = stages.all { it in answers }
+    /** True where nothing more will be heard and some stage is certainly lost. */
+    val isCertain: Boolean
+        get() = stages.all { it in answers || it in probe.unreachable } &&
+            (probe.unreachable.isNotEmpty() || forgetful.isNotEmpty())
 
     /** Stages that answered and hold nothing of a request that they ran before. */
-    val forgetful: Set<InstanceId>
+    private val forgetful: Set<InstanceId>
         get() = if (stream.awaitsFirst) emptySet() else stages.filter { answers[it]?.known == false }.toSet()
 
     fun stall(): Stall {
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -4,9 +4,7 @@
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.outcome.Outcome
-import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
-import io.mimosatrail.core.outcome.Step
 import io.mimosatrail.core.routing.ChainChooser
 import io.mimosatrail.core.routing.ChainRequest
 import io.mimosatrail.core.routing.StageChooser
@@ -19,7 +17,7 @@
  * Events go in and effects come out; the host performs the effects in order. Not safe for use by several threads.
  */
 class StreamTable internal constructor(
-    private val self: InstanceId,
+    self: InstanceId,
     address: PeerAddress,
     private val settings: StreamSettings,
     private val chooseChain: ChainChooser,
@@ -43,7 +41,8 @@
     private val opener = GenerationOpener(self, address)
     private val planner = RecoveryPlanner(chooseChain, chooseStage, forecast)
     private val slowBudget = SlowStageBudget(settings.slowPeriod, settings.streamsPerSlowMove)
-    private var aliveAt: Moment? = null
+    private val links = StageLinks(settings.aliveEvery)
+    private val refusals = StreamRefusals(self)
 
     /** Number of open streams. */
     val size: Int get() = streams.size
@@ -52,11 +51,11 @@
     fun open(spec: StreamSpec, now: Moment): List<StreamEffect> {
         val chain = chooseChain(ChainRequest(spec.pool, spec.prompt.size))
         if (chain == null || !chain.covers(spec.pool.layers)) {
-            return listOf(StreamEffect.Fail(spec.id, noChain(Outcome.NOT_RUN)))
+            return listOf(StreamEffect.Fail(spec.id, refusals.noChain()))
         }
         val stream = ActiveStream(spec, chain, now)
         streams[spec.id] = stream
-        return listOf(opener.reroute(stream, now))
+        return links.open(chain) + opener.reroute(stream, now)
     }
 
     /** A message from a stage arrived. */
@@ -76,15 +75,25 @@
         val stream = streams[message.request]?.takeIf { it.generation == message.generation } ?: return emptyList()
         val peer = stream.chain.stages.firstOrNull { it.address == to }?.instance ?: return emptyList()
         val lost = StreamEffect.Lost(peer)
-        if (message !is Frame) return listOf(lost)
-        return listOf(lost) + recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = stream.unrun, now)
+        return listOf(lost) + when (message) {
+            is Frame -> recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = stream.unrun, now)
+            is StageProbe -> unreachable(stream, peer, now)
+            else -> emptyList()
+        }
+    }
+
+    /** The connection to the stage at [to] ended; the streams through it are probed at once. */
+    fun onClosed(to: PeerAddress, now: Moment): List<StreamEffect> {
+        val affected = streams.values.filter { it.probe == null && it.passes(to) }
+        return affected.flatMap { probe(it, now) }
     }
 
     /** The caller left; nothing is delivered any more. */
     fun cancel(request: RequestId): List<StreamEffect> = streams[request]?.let { close(it) }.orEmpty()
 
     /** Probes silent streams, recovers failed ones and ends those past their deadline. */
-    fun onTick(now: Moment): List<StreamEffect> = streams.values.toList().flatMap { check(it, now) } + keepAlive(now)
+    fun onTick(now: Moment): List<StreamEffect> =
+        streams.values.toList().flatMap { check(it, now) } + links.keepAlive(streams.values.map { it.chain }, now)
 
     private fun onToken(stream: ActiveStream, sampled: SampledToken, now: Moment): List<StreamEffect> {
         val index = stream.delivered.size
@@ -140,8 +149,7 @@
     private fun onProgress(stream: ActiveStream, message: StageProgress, now: Moment): List<StreamEffect> {
         val probe = stream.probe ?: return emptyList()
         probe.answers[message.instance] = message
-        val diagnosis = StallDiagnosis(stream, probe.answers)
-        return if (diagnosis.isComplete && diagnosis.forgetful.isNotEmpty()) weigh(stream, probe, now) else emptyList()
+        return weighIfCertain(stream, probe, now)
     }
 
     private fun check(stream: ActiveStream, now: Moment): List<StreamEffect> {
@@ -162,14 +170,23 @@
         return (if (stream.awaitsFirst) usual + first else usual) * stream.patience
     }
 
+    private fun unreachable(stream: ActiveStream, peer: InstanceId, now: Moment): List<StreamEffect> {
+        val probe = stream.probe ?: return emptyList()
+        probe.unreachable += peer
+        return weighIfCertain(stream, probe, now)
+    }
+
     private fun probe(stream: ActiveStream, now: Moment): List<StreamEffect> {
         stream.probe = ActiveProbe(now)
         return opener.probes(stream)
     }
 
+    private fun weighIfCertain(stream: ActiveStream, probe: ActiveProbe, now: Moment): List<StreamEffect> =
+        if (StallDiagnosis(stream, probe).isCertain) weigh(stream, probe, now) else emptyList()
+
     /** Decides from the answers to the probes how the stream carries on. */
     private fun weigh(stream: ActiveStream, probe: ActiveProbe, now: Moment): List<StreamEffect> {
-        val stall = StallDiagnosis(stream, probe.answers).stall()
+        val stall = StallDiagnosis(stream, probe).stall()
         if (stall.onItsWay) return waitLonger(stream)
         if (stall.slow != null) return leaveSlow(stream, stall.slow, now)
         val hints = stall.lost.filter { it !in probe.answers }.map { StreamEffect.Lost(it) }
@@ -213,7 +230,7 @@
         val plan = planner.plan(stream, lost, prefill.value)
             ?: return fail(stream, reason, lost.firstOrNull(), "no chain is left for the request")
         val way = StreamEffect.Recovering(stream.spec.id, plan.way)
-        return listOf(way) + opener.carryOn(stream, plan, now)
+        return listOf(way) + links.open(plan.chain) + opener.carryOn(stream, plan, now)
     }
 
     private fun violate(stream: ActiveStream, detail: String): List<StreamEffect> {
@@ -228,36 +245,12 @@
         peer: InstanceId?,
         detail: String,
     ): List<StreamEffect> {
-        val outcome = when {
-            stream.delivered.isNotEmpty() -> Outcome.RAN
-            stream.unrun && reason != RefusalReason.DEADLINE -> Outcome.NOT_RUN
-            else -> Outcome.UNKNOWN
-        }
-        val refusal = Refusal(outcome, reason, Step.STAGE, peer, detail, RETRY_AFTER_MILLIS)
+        val refusal = refusals.failed(stream, reason, peer, detail)
         return listOf(StreamEffect.Fail(stream.spec.id, refusal)) + close(stream)
     }
 
-    private fun noChain(outcome: Outcome) = Refusal(
-        outcome,
-        RefusalReason.NO_UPSTREAM,
-        Step.ROUTE,
-        self,
-        "no chain covers the model's layers",
-        RETRY_AFTER_MILLIS,
-    )
-
     private fun close(stream: ActiveStream): List<StreamEffect> {
         streams.remove(stream.spec.id)
         return opener.cancels(stream, stream.chain.stages)
     }
-
-    private fun keepAlive(now: Moment): List<StreamEffect> {
-        if (aliveAt?.let { now - it < settings.aliveEvery } == true) return emptyList()
-        aliveAt = now
-        return streams.values.flatMap { it.chain.stages }.distinctBy { it.address }.map { StreamEffect.KeepAlive(it) }
-    }
-
-    private companion object {
-        const val RETRY_AFTER_MILLIS = 500L
-    }
 }
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/RandomStreamsTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/RandomStreamsTest.kt
@@ -76,11 +76,12 @@
 private fun scheduleFault(cluster: VirtualCluster) {
     cluster.time.after(2.seconds * cluster.random.nextDouble()) {
         val stage = cluster.stages.random(cluster.random)
-        when (cluster.random.nextInt(5)) {
+        when (cluster.random.nextInt(6)) {
             0 -> stage.crash()
             1 -> restartLater(cluster, stage)
             2 -> stage.pausedUntil = cluster.time.now + 3.seconds * cluster.random.nextDouble()
             3 -> stage.slowdown = 100
+            4 -> stage.crash(silent = true)
             else -> cluster.entry.pausedUntil = cluster.time.now + 1.seconds * cluster.random.nextDouble()
         }
     }
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/StreamRecoveryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/StreamRecoveryTest.kt
@@ -76,6 +76,13 @@
             }
         }
 
+        test("a machine that vanishes without closing its connections is replaced") {
+            val cluster = VirtualCluster(SEED, threeStages)
+            val answer = run(cluster) { all, _ -> all.busy(1).crash(silent = true) }
+            answer.shouldBeWhole(cluster)
+            answer.ways shouldContain RecoveryWay.REPLACE
+        }
+
         test("two stages that die together lead to a new chain that runs the delivered tokens again") {
             val cluster = VirtualCluster(SEED, threeStages)
             val answer = run(cluster) { all, _ -> listOf(0, 2).forEach { all.busy(it).crash() } }
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualCluster.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualCluster.kt
@@ -89,6 +89,7 @@
 
     fun send(from: PeerAddress, to: PeerAddress, message: StreamMessage) {
         val target = stages.firstOrNull { it.stage.address == misdeliver(message, to) }
+        if (target?.vanished == true) return
         if (target?.crashed == true) {
             time.after(speed.latency) { unsent(from, to, message) }
             return
@@ -96,6 +97,11 @@
         link(from, to).send(message) { target?.receive(message) ?: entry.receive(message) }
     }
 
+    /** The entry notices the end of its connection to [address]. */
+    fun closeLinks(address: PeerAddress) {
+        if (entry.address to address in links) time.after(speed.latency) { entry.closed(address) }
+    }
+
     fun sendAlive(from: VirtualEntry, to: PeerAddress) {
         val target = stages.first { it.stage.address == to }
         link(from.address, to).send(null) { target.alive(from.instance) }
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualEntry.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualEntry.kt
@@ -51,6 +51,8 @@
 
     fun unsent(to: PeerAddress, message: StreamMessage) = act { table.onUnsent(to, message, cluster.time.now) }
 
+    fun closed(to: PeerAddress) = act { table.onClosed(to, cluster.time.now) }
+
     fun tick() = act { table.onTick(cluster.time.now) }
 
     private fun act(event: () -> List<StreamEffect>) {
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualStage.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/simulation/VirtualStage.kt
@@ -23,6 +23,10 @@
 
     var crashed = false
         private set
+
+    /** True where a crash was silent. */
+    var vanished = false
+        private set
     var pausedUntil = cluster.time.now
     var slowdown = 1
 
@@ -30,9 +34,12 @@
     val sequences: Int get() = engine.size
     val retainedBytes: Long get() = table.retainedBytes
 
-    fun crash() {
+    /** Ends the process; with [silent] true its connections stay open, as after the loss of a machine. */
+    fun crash(silent: Boolean = false) {
         crashed = true
+        vanished = silent
         life++
+        if (!silent) cluster.closeLinks(stage.address)
     }
 
     /** Starts again with nothing. */
@@ -40,6 +47,7 @@
         table = cluster.newStageTable(stage.instance)
         engine = VirtualEngine(stage.layers, cluster.layers, cluster::sampling)
         crashed = false
+        vanished = false
     }
 
     fun drain() {
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/stream/StreamRouter.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/stream/StreamRouter.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 
 private val log = KotlinLogging.logger("streams")
@@ -62,6 +63,9 @@
             null
         }
         host.timers.every("streams", tickPeriod) { now -> apply { table.onTick(now) } }
+        host.scope.launch {
+            host.peers.closedLinks.collect { to -> apply { table.onClosed(to, host.clock()) } }
+        }
         host.meters.gauge("mimosatrail.streams.open", open) { it.value.toDouble() }
     }
 
--- a/protocol/src/main/kotlin/io/mimosatrail/protocol/PeerNode.kt
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/PeerNode.kt
@@ -18,6 +18,9 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.MutableSharedFlow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -26,6 +29,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
+private const val CLOSED_LINKS = 1_024
 private val log = KotlinLogging.logger("peers")
 
 /**
@@ -45,8 +49,15 @@
     private val outgoing = ConcurrentHashMap<PeerAddress, PeerLink>()
     private val incoming = ConcurrentHashMap.newKeySet<PeerLink>()
     private val connecting = ConcurrentHashMap<PeerAddress, Mutex>()
+    private val closed =
+        MutableSharedFlow<PeerAddress>(
+            extraBufferCapacity = CLOSED_LINKS,
+            onBufferOverflow = BufferOverflow.DROP_OLDEST,
+        )
     private lateinit var server: ServerSocket
 
+    override val closedLinks: Flow<PeerAddress> get() = closed
+
     /** Binds the listener; answers the address, with the port that was chosen where the setting is 0. */
     suspend fun listen(): PeerAddress {
         server = aSocket(selector).tcp().bind(InetSocketAddress(settings.host, settings.port))
@@ -106,6 +117,10 @@
         link ?: return Err(PeerError.Unreachable(to, "no connection within ${settings.connectTimeout}"))
         outgoing[to] = link
         link.start()
+        scope.launch {
+            link.awaitClose()
+            closed.emit(to)
+        }
         return Ok(link)
     }
 
--- a/protocol/src/main/kotlin/io/mimosatrail/protocol/Peers.kt
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/Peers.kt
@@ -2,10 +2,15 @@
 
 import com.github.michaelbull.result.Result
 import io.mimosatrail.core.net.PeerAddress
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
 import kotlin.time.Duration
 
 /** Sends messages to other processes of the system. */
 interface Peers {
+    /** Peers whose connection from this process has just ended. */
+    val closedLinks: Flow<PeerAddress> get() = emptyFlow()
+
     /** Queues [message] for [to]; order is kept per peer. Fails at once where the link is down or its queue full. */
     suspend fun send(to: PeerAddress, message: PeerMessage): Result<Unit, PeerError>
 
