Keep a token that was on its way when its stream recovered

Change: the entry keeps such a token; where the first stage refuses as stale it is delivered and the recovery starts again behind it.

--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
@@ -28,6 +28,12 @@
     /** True where the chain was resumed unchanged since the last token. */
     var resumed = false
     var replaceable = true
+
+    /** The next token, where it was on its way when the current generation was started. */
+    var late: SampledToken? = null
+
+    /** How the current generation was started; null for the first. */
+    var plan: RecoveryPlan? = null
     val interToken = MovingMean(Duration.ZERO)
 
     /** Positions that a new chain has to run for the next token. */
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/GenerationOpener.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/GenerationOpener.kt
@@ -18,6 +18,8 @@
         val cancelled = cancels(stream, left)
         stream.generation = stream.generation.next()
         stream.chain = plan.chain
+        stream.plan = plan
+        stream.late = null
         stream.progressAt = now
         stream.awaitsFirst = true
         return cancelled + firstFrame(stream, plan, now)
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -61,6 +61,7 @@
     /** A message from a stage arrived. */
     fun onMessage(message: StreamMessage, now: Moment): List<StreamEffect> {
         val stream = streams[message.request] ?: return emptyList()
+        if (message is SampledToken && isLate(stream, message)) stream.late = message
         if (checks.generation && message.generation != stream.generation) return emptyList()
         return when (message) {
             is SampledToken -> onToken(stream, message, now)
@@ -108,6 +109,28 @@
         return loads + deliver + finish(stream, sampled)
     }
 
+    /** True for the next token from just before a recovery that keeps the stages' state. */
+    private fun isLate(stream: ActiveStream, sampled: SampledToken): Boolean {
+        val keepsState = stream.plan?.way.let { it == RecoveryWay.RESUME || it == RecoveryWay.REPLACE }
+        return keepsState &&
+            stream.awaitsFirst &&
+            sampled.generation.next() == stream.generation &&
+            sampled.index == stream.delivered.size &&
+            sampled.trail.covers(stream.spec.pool.layers)
+    }
+
+    /**
+     * Delivers a token that was on its way when its stream recovered, and starts the recovery again behind it: the
+     * first stage had the token before the recovery and refuses to go back.
+     */
+    private fun takeLateToken(stream: ActiveStream, sampled: SampledToken, now: Moment): List<StreamEffect> {
+        val plan = stream.plan ?: return emptyList()
+        val deliver = StreamEffect.Deliver(stream.spec.id, stream.delivered.size, sampled.token)
+        stream.delivered += sampled.token
+        val end = finish(stream, sampled)
+        return listOf(deliver) + end.ifEmpty { opener.carryOn(stream, plan, now) }
+    }
+
     private fun finish(stream: ActiveStream, sampled: SampledToken): List<StreamEffect> {
         val full = stream.delivered.size >= stream.spec.maxTokens
         val reason = if (full) FinishReason.LENGTH else sampled.finish
@@ -128,6 +151,7 @@
         stream.progressAt = now
         stream.probe = null
         stream.resumed = false
+        stream.late = null
         stream.patience = 1
     }
 
@@ -139,6 +163,8 @@
         if (refusal.reason != RefusalReason.STALE) {
             return listOf(hint) + recover(stream, setOf(at), refusal.reason, unrun, now)
         }
+        val late = stream.late?.takeIf { at == stream.chain.first.instance }
+        if (late != null) return takeLateToken(stream, late, now)
         stream.replaceable = false
         return recover(stream, emptySet(), refusal.reason, unrun = false, now)
     }
@@ -171,7 +197,8 @@
     }
 
     private fun unreachable(stream: ActiveStream, peer: InstanceId, now: Moment): List<StreamEffect> {
-        val probe = stream.probe ?: return emptyList()
+        val probe = stream.probe
+            ?: return recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = false, now)
         probe.unreachable += peer
         return weighIfCertain(stream, probe, now)
     }
