--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/ActiveStream.kt
@@ -12,6 +12,9 @@
     var chain = firstChain
     val delivered = mutableListOf<Int>()
     val excluded = mutableSetOf<InstanceId>()
+
+    /** Those of [excluded] that only were silent. */
+    val suspected = mutableSetOf<InstanceId>()
     var recoveries = 0
 
     /** False once a generation ended that may have run anything. */
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StallDiagnosis.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StallDiagnosis.kt
@@ -2,7 +2,7 @@
 
 import io.mimosatrail.core.id.InstanceId
 
-private const val MAX_PATIENCE = 4
+private const val MAX_FIRST_FRAME_PATIENCE = 4
 
 /**
  * What probes say of a stall: [lost] stages are gone, a [slow] one still runs, and with [onItsWay] the
@@ -12,7 +12,10 @@
     val lost: Set<InstanceId> = emptySet(),
     val slow: InstanceId? = null,
     val onItsWay: Boolean = false,
-)
+) {
+    /** True where the lost stages only did not answer [probe]. */
+    fun isUnproven(probe: ActiveProbe): Boolean = lost.none { it in probe.answers || it in probe.unreachable }
+}
 
 /** Finds the stages at fault for the stall of a stream, from the answers to probes. */
 internal class StallDiagnosis(private val stream: ActiveStream, private val probe: ActiveProbe) {
@@ -35,7 +38,7 @@
             gone.isNotEmpty() -> Stall(gone)
             behind == null -> Stall()
             answers.getValue(behind).running -> Stall(slow = behind)
-            !answers.getValue(behind).known && stream.patience < MAX_PATIENCE -> Stall(onItsWay = true)
+            !answers.getValue(behind).known && stream.patience < MAX_FIRST_FRAME_PATIENCE -> Stall(onItsWay = true)
             stream.resumed || !answers.getValue(behind).known -> Stall(setOf(behind))
             else -> Stall()
         }
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamSettings.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamSettings.kt
@@ -11,6 +11,7 @@
  * probed; the answers are weighed after [probeWait]. Before the first token of a generation [prefillFloor] and the
  * predicted prefill time take their place. [prefillPerPosition] is the prediction before anything was observed.
  * In each [slowPeriod] one stream, and one more for every [streamsPerSlowMove] open streams, may leave a slow stage.
+ * A silent stage without replacement is waited for up to [silenceLimit] since the last token.
  */
 class StreamSettings(
     val suspectFactor: Int = 4,
@@ -22,4 +23,5 @@
     val aliveEvery: Duration = 2.seconds,
     val slowPeriod: Duration = 1.seconds,
     val streamsPerSlowMove: Int = 10,
+    val silenceLimit: Duration = 10.seconds,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -216,20 +216,37 @@
         val stall = StallDiagnosis(stream, probe).stall()
         if (stall.onItsWay) return waitLonger(stream)
         if (stall.slow != null) return leaveSlow(stream, stall.slow, now)
+        if (stall.lost.isNotEmpty() && stall.isUnproven(probe)) return leaveSilent(stream, stall.lost, now)
         val hints = stall.lost.filter { it !in probe.answers }.map { StreamEffect.Lost(it) }
         return hints + recover(stream, stall.lost, RefusalReason.PEER_LOST, unrun = false, now)
     }
 
     /** Replaces a stage that is slow but alive, where that is possible and within the budget; else waits longer. */
     private fun leaveSlow(stream: ActiveStream, slow: InstanceId, now: Moment): List<StreamEffect> {
-        val able = stream.recoveries < settings.maxRecoveries &&
-            planner.plan(stream, setOf(slow), prefill.value) != null
-        if (able && slowBudget.take(streams.size, now)) {
-            return recover(stream, setOf(slow), RefusalReason.PEER_LOST, unrun = false, now)
-        }
-        return waitLonger(stream)
+        val lost = setOf(slow)
+        val plan = planFor(stream, lost)
+        if (plan == null || !slowBudget.take(streams.size, now)) return waitLonger(stream)
+        return recover(stream, lost, RefusalReason.PEER_LOST, unrun = false, now, plan)
+    }
+
+    /** Replaces stages that do not answer; without others they are waited for, since they may only be paused. */
+    private fun leaveSilent(stream: ActiveStream, silent: Set<InstanceId>, now: Moment): List<StreamEffect> {
+        val plan = planFor(stream, silent) ?: planWithSuspected(stream, silent)
+        if (plan == null && now - stream.progressAt < settings.silenceLimit) return waitLonger(stream)
+        stream.suspected += silent
+        return silent.map { StreamEffect.Lost(it) } +
+            recover(stream, silent, RefusalReason.PEER_LOST, unrun = false, now, plan)
     }
 
+    private fun planWithSuspected(stream: ActiveStream, lost: Set<InstanceId>): RecoveryPlan? {
+        stream.excluded -= stream.suspected
+        stream.suspected.clear()
+        return planFor(stream, lost)
+    }
+
+    private fun planFor(stream: ActiveStream, lost: Set<InstanceId>): RecoveryPlan? =
+        if (stream.recoveries < settings.maxRecoveries) planner.plan(stream, lost, prefill.value) else null
+
     private fun waitLonger(stream: ActiveStream): List<StreamEffect> {
         stream.probe = null
         stream.patience *= 2
@@ -247,15 +264,13 @@
         reason: RefusalReason,
         unrun: Boolean,
         now: Moment,
+        plan: RecoveryPlan? = planFor(stream, lost),
     ): List<StreamEffect> {
         stream.unrun = unrun
         stream.excluded += lost
         stream.probe = null
-        if (++stream.recoveries > settings.maxRecoveries) {
-            return fail(stream, reason, lost.firstOrNull(), "gave up after ${settings.maxRecoveries} recoveries")
-        }
-        val plan = planner.plan(stream, lost, prefill.value)
-            ?: return fail(stream, reason, lost.firstOrNull(), "no chain is left for the request")
+        stream.recoveries++
+        if (plan == null) return fail(stream, reason, lost.firstOrNull(), "no chain is left for the request")
         val way = StreamEffect.Recovering(stream.spec.id, plan.way)
         return listOf(way) + links.open(plan.chain) + opener.carryOn(stream, plan, now)
     }
--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/StreamRecoveryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/StreamRecoveryTest.kt
@@ -111,6 +111,20 @@
             answer.ways.shouldBeEmpty()
         }
 
+        test("a paused stage without replacement is waited for") {
+            val cluster = VirtualCluster(SEED, threeStages, replicas = 1)
+            val answer = run(cluster) { all, _ -> all.busy(1).pausedUntil = all.time.now + 5.seconds }
+            answer.shouldBeWhole(cluster)
+        }
+
+        test("a dead stage without replacement ends the stream at once with an error") {
+            val cluster = VirtualCluster(SEED, threeStages, replicas = 1)
+            val answer = run(cluster) { all, _ -> all.busy(1).crash() }
+            answer.failed?.reason shouldBe RefusalReason.PEER_LOST
+            answer.failed?.outcome shouldBe Outcome.RAN
+            answer.finished shouldBe null
+        }
+
         test("a long prompt over slow links is not taken for a failure") {
             val speed = VirtualSpeed(bytesPerSecond = 1e5, positionBytes = 120)
             val cluster = VirtualCluster(SEED, threeStages, speed = speed)
