--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -39,10 +39,17 @@
     private val streams = LinkedHashMap<RequestId, ActiveStream>()
     private val prefill = MovingMean(settings.prefillPerPosition)
     private val opener = GenerationOpener(self, address)
-    private val planner = RecoveryPlanner(chooseChain, chooseStage, forecast)
-    private val slowBudget = SlowStageBudget(settings.slowPeriod, settings.streamsPerSlowMove)
     private val links = StageLinks(settings.aliveEvery)
     private val refusals = StreamRefusals(self)
+    private val recovery = StreamRecovery(
+        settings,
+        RecoveryPlanner(chooseChain, chooseStage, forecast),
+        opener,
+        links,
+        prefill,
+        { streams.size },
+        ::fail,
+    )
 
     /** Number of open streams. */
     val size: Int get() = streams.size
@@ -77,8 +84,8 @@
         val peer = stream.chain.stages.firstOrNull { it.address == to }?.instance ?: return emptyList()
         val lost = StreamEffect.Lost(peer)
         return listOf(lost) + when (message) {
-            is Frame -> recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = stream.unrun, now)
-            is StageProbe -> unreachable(stream, peer, now)
+            is Frame -> recovery.recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = stream.unrun, now)
+            is StageProbe -> recovery.unreachable(stream, peer, now)
             else -> emptyList()
         }
     }
@@ -99,7 +106,7 @@
     private fun onToken(stream: ActiveStream, sampled: SampledToken, now: Moment): List<StreamEffect> {
         val index = stream.delivered.size
         if (checks.duplicates && sampled.index < index) return emptyList()
-        if (checks.duplicates && sampled.index > index) return rerouteAfterGap(stream, now)
+        if (checks.duplicates && sampled.index > index) return recovery.rerouteAfterGap(stream, now)
         val layers = stream.spec.pool.layers
         if (checks.trail && !sampled.trail.covers(layers)) return violate(stream, "the trail does not cover the model")
         observe(stream, now)
@@ -161,12 +168,12 @@
         val hint = hint(at, refusal.reason)
         val unrun = stream.unrun && refusal.outcome == Outcome.NOT_RUN && at == stream.chain.first.instance
         if (refusal.reason != RefusalReason.STALE) {
-            return listOf(hint) + recover(stream, setOf(at), refusal.reason, unrun, now)
+            return listOf(hint) + recovery.recover(stream, setOf(at), refusal.reason, unrun, now)
         }
         val late = stream.late?.takeIf { at == stream.chain.first.instance }
         if (late != null) return takeLateToken(stream, late, now)
         stream.replaceable = false
-        return recover(stream, emptySet(), refusal.reason, unrun = false, now)
+        return recovery.recover(stream, emptySet(), refusal.reason, unrun = false, now)
     }
 
     private fun hint(at: InstanceId, reason: RefusalReason) =
@@ -175,14 +182,14 @@
     private fun onProgress(stream: ActiveStream, message: StageProgress, now: Moment): List<StreamEffect> {
         val probe = stream.probe ?: return emptyList()
         probe.answers[message.instance] = message
-        return weighIfCertain(stream, probe, now)
+        return recovery.weighIfCertain(stream, probe, now)
     }
 
     private fun check(stream: ActiveStream, now: Moment): List<StreamEffect> {
         val probe = stream.probe
         return when {
             stream.spec.deadline <= now -> fail(stream, RefusalReason.DEADLINE, null, "the deadline passed")
-            probe != null && now - probe.at >= probeWait(stream) -> weigh(stream, probe, now)
+            probe != null && now - probe.at >= probeWait(stream) -> recovery.weigh(stream, probe, now)
             probe == null && now - stream.progressAt >= suspectAfter(stream) -> probe(stream, now)
             else -> emptyList()
         }
@@ -196,85 +203,11 @@
         return (if (stream.awaitsFirst) usual + first else usual) * stream.patience
     }
 
-    private fun unreachable(stream: ActiveStream, peer: InstanceId, now: Moment): List<StreamEffect> {
-        val probe = stream.probe
-            ?: return recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = false, now)
-        probe.unreachable += peer
-        return weighIfCertain(stream, probe, now)
-    }
-
     private fun probe(stream: ActiveStream, now: Moment): List<StreamEffect> {
         stream.probe = ActiveProbe(now)
         return opener.probes(stream)
     }
 
-    private fun weighIfCertain(stream: ActiveStream, probe: ActiveProbe, now: Moment): List<StreamEffect> =
-        if (StallDiagnosis(stream, probe).isCertain) weigh(stream, probe, now) else emptyList()
-
-    /** Decides from the answers to the probes how the stream carries on. */
-    private fun weigh(stream: ActiveStream, probe: ActiveProbe, now: Moment): List<StreamEffect> {
-        val stall = StallDiagnosis(stream, probe).stall()
-        if (stall.onItsWay) return waitLonger(stream)
-        if (stall.slow != null) return leaveSlow(stream, stall.slow, now)
-        if (stall.lost.isNotEmpty() && stall.isUnproven(probe)) return leaveSilent(stream, stall.lost, now)
-        val hints = stall.lost.filter { it !in probe.answers }.map { StreamEffect.Lost(it) }
-        return hints + recover(stream, stall.lost, RefusalReason.PEER_LOST, unrun = false, now)
-    }
-
-    /** Replaces a stage that is slow but alive, where that is possible and within the budget; else waits longer. */
-    private fun leaveSlow(stream: ActiveStream, slow: InstanceId, now: Moment): List<StreamEffect> {
-        val lost = setOf(slow)
-        val plan = planFor(stream, lost)
-        if (plan == null || !slowBudget.take(streams.size, now)) return waitLonger(stream)
-        return recover(stream, lost, RefusalReason.PEER_LOST, unrun = false, now, plan)
-    }
-
-    /** Replaces stages that do not answer; without others they are waited for, since they may only be paused. */
-    private fun leaveSilent(stream: ActiveStream, silent: Set<InstanceId>, now: Moment): List<StreamEffect> {
-        val plan = planFor(stream, silent) ?: planWithSuspected(stream, silent)
-        if (plan == null && now - stream.progressAt < settings.silenceLimit) return waitLonger(stream)
-        stream.suspected += silent
-        return silent.map { StreamEffect.Lost(it) } +
-            recover(stream, silent, RefusalReason.PEER_LOST, unrun = false, now, plan)
-    }
-
-    private fun planWithSuspected(stream: ActiveStream, lost: Set<InstanceId>): RecoveryPlan? {
-        stream.excluded -= stream.suspected
-        stream.suspected.clear()
-        return planFor(stream, lost)
-    }
-
-    private fun planFor(stream: ActiveStream, lost: Set<InstanceId>): RecoveryPlan? =
-        if (stream.recoveries < settings.maxRecoveries) planner.plan(stream, lost, prefill.value) else null
-
-    private fun waitLonger(stream: ActiveStream): List<StreamEffect> {
-        stream.probe = null
-        stream.patience *= 2
-        return emptyList()
-    }
-
-    private fun rerouteAfterGap(stream: ActiveStream, now: Moment): List<StreamEffect> {
-        stream.replaceable = false
-        return recover(stream, emptySet(), RefusalReason.PEER_LOST, unrun = false, now)
-    }
-
-    private fun recover(
-        stream: ActiveStream,
-        lost: Set<InstanceId>,
-        reason: RefusalReason,
-        unrun: Boolean,
-        now: Moment,
-        plan: RecoveryPlan? = planFor(stream, lost),
-    ): List<StreamEffect> {
-        stream.unrun = unrun
-        stream.excluded += lost
-        stream.probe = null
-        stream.recoveries++
-        if (plan == null) return fail(stream, reason, lost.firstOrNull(), "no chain is left for the request")
-        val way = StreamEffect.Recovering(stream.spec.id, plan.way)
-        return listOf(way) + links.open(plan.chain) + opener.carryOn(stream, plan, now)
-    }
-
     private fun violate(stream: ActiveStream, detail: String): List<StreamEffect> {
         val last = stream.chain.last.instance
         violated(InvariantViolation(stream.spec.id, last, detail))
