--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -4,9 +4,7 @@
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.outcome.Outcome
-import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
-import io.mimosatrail.core.outcome.Step
 import io.mimosatrail.core.routing.ChainChooser
 import io.mimosatrail.core.routing.ChainRequest
 import io.mimosatrail.core.routing.StageChooser
@@ -19,7 +17,7 @@
  * Events go in and effects come out; the host performs the effects in order. Not safe for use by several threads.
  */
 class StreamTable internal constructor(
-    private val self: InstanceId,
+    self: InstanceId,
     address: PeerAddress,
     private val settings: StreamSettings,
     private val chooseChain: ChainChooser,
@@ -41,9 +39,17 @@
     private val streams = LinkedHashMap<RequestId, ActiveStream>()
     private val prefill = MovingMean(settings.prefillPerPosition)
     private val opener = GenerationOpener(self, address)
-    private val planner = RecoveryPlanner(chooseChain, chooseStage, forecast)
-    private val slowBudget = SlowStageBudget(settings.slowPeriod, settings.streamsPerSlowMove)
-    private var aliveAt: Moment? = null
+    private val links = StageLinks(settings.aliveEvery)
+    private val refusals = StreamRefusals(self)
+    private val recovery = StreamRecovery(
+        settings,
+        RecoveryPlanner(chooseChain, chooseStage, forecast),
+        opener,
+        links,
+        prefill,
+        { streams.size },
+        ::fail,
+    )
 
     /** Number of open streams. */
     val size: Int get() = streams.size
@@ -52,16 +58,17 @@
     fun open(spec: StreamSpec, now: Moment): List<StreamEffect> {
         val chain = chooseChain(ChainRequest(spec.pool, spec.prompt.size))
         if (chain == null || !chain.covers(spec.pool.layers)) {
-            return listOf(StreamEffect.Fail(spec.id, noChain(Outcome.NOT_RUN)))
+            return listOf(StreamEffect.Fail(spec.id, refusals.noChain()))
         }
         val stream = ActiveStream(spec, chain, now)
         streams[spec.id] = stream
-        return listOf(opener.reroute(stream, now))
+        return links.open(chain) + opener.reroute(stream, now)
     }
 
     /** A message from a stage arrived. */
     fun onMessage(message: StreamMessage, now: Moment): List<StreamEffect> {
         val stream = streams[message.request] ?: return emptyList()
+        if (message is SampledToken && isLate(stream, message)) stream.late = message
         if (checks.generation && message.generation != stream.generation) return emptyList()
         return when (message) {
             is SampledToken -> onToken(stream, message, now)
@@ -76,20 +83,30 @@
         val stream = streams[message.request]?.takeIf { it.generation == message.generation } ?: return emptyList()
         val peer = stream.chain.stages.firstOrNull { it.address == to }?.instance ?: return emptyList()
         val lost = StreamEffect.Lost(peer)
-        if (message !is Frame) return listOf(lost)
-        return listOf(lost) + recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = stream.unrun, now)
+        return listOf(lost) + when (message) {
+            is Frame -> recovery.recover(stream, setOf(peer), RefusalReason.PEER_LOST, unrun = stream.unrun, now)
+            is StageProbe -> recovery.unreachable(stream, peer, now)
+            else -> emptyList()
+        }
+    }
+
+    /** The connection to the stage at [to] ended; the streams through it are probed at once. */
+    fun onClosed(to: PeerAddress, now: Moment): List<StreamEffect> {
+        val affected = streams.values.filter { it.probe == null && it.passes(to) }
+        return affected.flatMap { probe(it, now) }
     }
 
     /** The caller left; nothing is delivered any more. */
     fun cancel(request: RequestId): List<StreamEffect> = streams[request]?.let { close(it) }.orEmpty()
 
     /** Probes silent streams, recovers failed ones and ends those past their deadline. */
-    fun onTick(now: Moment): List<StreamEffect> = streams.values.toList().flatMap { check(it, now) } + keepAlive(now)
+    fun onTick(now: Moment): List<StreamEffect> =
+        streams.values.toList().flatMap { check(it, now) } + links.keepAlive(streams.values.map { it.chain }, now)
 
     private fun onToken(stream: ActiveStream, sampled: SampledToken, now: Moment): List<StreamEffect> {
         val index = stream.delivered.size
         if (checks.duplicates && sampled.index < index) return emptyList()
-        if (checks.duplicates && sampled.index > index) return rerouteAfterGap(stream, now)
+        if (checks.duplicates && sampled.index > index) return recovery.rerouteAfterGap(stream, now)
         val layers = stream.spec.pool.layers
         if (checks.trail && !sampled.trail.covers(layers)) return violate(stream, "the trail does not cover the model")
         observe(stream, now)
@@ -99,6 +116,28 @@
         return loads + deliver + finish(stream, sampled)
     }
 
+    /** True for the next token from just before a recovery that keeps the stages' state. */
+    private fun isLate(stream: ActiveStream, sampled: SampledToken): Boolean {
+        val keepsState = stream.plan?.way.let { it == RecoveryWay.RESUME || it == RecoveryWay.REPLACE }
+        return keepsState &&
+            stream.awaitsFirst &&
+            sampled.generation.next() == stream.generation &&
+            sampled.index == stream.delivered.size &&
+            sampled.trail.covers(stream.spec.pool.layers)
+    }
+
+    /**
+     * Delivers a token that was on its way when its stream recovered, and starts the recovery again behind it: the
+     * first stage had the token before the recovery and refuses to go back.
+     */
+    private fun takeLateToken(stream: ActiveStream, sampled: SampledToken, now: Moment): List<StreamEffect> {
+        val plan = stream.plan ?: return emptyList()
+        val deliver = StreamEffect.Deliver(stream.spec.id, stream.delivered.size, sampled.token)
+        stream.delivered += sampled.token
+        val end = finish(stream, sampled)
+        return listOf(deliver) + end.ifEmpty { opener.carryOn(stream, plan, now) }
+    }
+
     private fun finish(stream: ActiveStream, sampled: SampledToken): List<StreamEffect> {
         val full = stream.delivered.size >= stream.spec.maxTokens
         val reason = if (full) FinishReason.LENGTH else sampled.finish
@@ -119,6 +158,7 @@
         stream.progressAt = now
         stream.probe = null
         stream.resumed = false
+        stream.late = null
         stream.patience = 1
     }
 
@@ -128,10 +168,12 @@
         val hint = hint(at, refusal.reason)
         val unrun = stream.unrun && refusal.outcome == Outcome.NOT_RUN && at == stream.chain.first.instance
         if (refusal.reason != RefusalReason.STALE) {
-            return listOf(hint) + recover(stream, setOf(at), refusal.reason, unrun, now)
+            return listOf(hint) + recovery.recover(stream, setOf(at), refusal.reason, unrun, now)
         }
+        val late = stream.late?.takeIf { at == stream.chain.first.instance }
+        if (late != null) return takeLateToken(stream, late, now)
         stream.replaceable = false
-        return recover(stream, emptySet(), refusal.reason, unrun = false, now)
+        return recovery.recover(stream, emptySet(), refusal.reason, unrun = false, now)
     }
 
     private fun hint(at: InstanceId, reason: RefusalReason) =
@@ -140,15 +182,14 @@
     private fun onProgress(stream: ActiveStream, message: StageProgress, now: Moment): List<StreamEffect> {
         val probe = stream.probe ?: return emptyList()
         probe.answers[message.instance] = message
-        val diagnosis = StallDiagnosis(stream, probe.answers)
-        return if (diagnosis.isComplete && diagnosis.forgetful.isNotEmpty()) weigh(stream, probe, now) else emptyList()
+        return recovery.weighIfCertain(stream, probe, now)
     }
 
     private fun check(stream: ActiveStream, now: Moment): List<StreamEffect> {
         val probe = stream.probe
         return when {
             stream.spec.deadline <= now -> fail(stream, RefusalReason.DEADLINE, null, "the deadline passed")
-            probe != null && now - probe.at >= probeWait(stream) -> weigh(stream, probe, now)
+            probe != null && now - probe.at >= probeWait(stream) -> recovery.weigh(stream, probe, now)
             probe == null && now - stream.progressAt >= suspectAfter(stream) -> probe(stream, now)
             else -> emptyList()
         }
@@ -167,55 +208,6 @@
         return opener.probes(stream)
     }
 
-    /** Decides from the answers to the probes how the stream carries on. */
-    private fun weigh(stream: ActiveStream, probe: ActiveProbe, now: Moment): List<StreamEffect> {
-        val stall = StallDiagnosis(stream, probe.answers).stall()
-        if (stall.onItsWay) return waitLonger(stream)
-        if (stall.slow != null) return leaveSlow(stream, stall.slow, now)
-        val hints = stall.lost.filter { it !in probe.answers }.map { StreamEffect.Lost(it) }
-        return hints + recover(stream, stall.lost, RefusalReason.PEER_LOST, unrun = false, now)
-    }
-
-    /** Replaces a stage that is slow but alive, where that is possible and within the budget; else waits longer. */
-    private fun leaveSlow(stream: ActiveStream, slow: InstanceId, now: Moment): List<StreamEffect> {
-        val able = stream.recoveries < settings.maxRecoveries &&
-            planner.plan(stream, setOf(slow), prefill.value) != null
-        if (able && slowBudget.take(streams.size, now)) {
-            return recover(stream, setOf(slow), RefusalReason.PEER_LOST, unrun = false, now)
-        }
-        return waitLonger(stream)
-    }
-
-    private fun waitLonger(stream: ActiveStream): List<StreamEffect> {
-        stream.probe = null
-        stream.patience *= 2
-        return emptyList()
-    }
-
-    private fun rerouteAfterGap(stream: ActiveStream, now: Moment): List<StreamEffect> {
-        stream.replaceable = false
-        return recover(stream, emptySet(), RefusalReason.PEER_LOST, unrun = false, now)
-    }
-
-    private fun recover(
-        stream: ActiveStream,
-        lost: Set<InstanceId>,
-        reason: RefusalReason,
-        unrun: Boolean,
-        now: Moment,
-    ): List<StreamEffect> {
-        stream.unrun = unrun
-        stream.excluded += lost
-        stream.probe = null
-        if (++stream.recoveries > settings.maxRecoveries) {
-            return fail(stream, reason, lost.firstOrNull(), "gave up after ${settings.maxRecoveries} recoveries")
-        }
-        val plan = planner.plan(stream, lost, prefill.value)
-            ?: return fail(stream, reason, lost.firstOrNull(), "no chain is left for the request")
-        val way = StreamEffect.Recovering(stream.spec.id, plan.way)
-        return listOf(way) + opener.carryOn(stream, plan, now)
-    }
-
     private fun violate(stream: ActiveStream, detail: String): List<StreamEffect> {
         val last = stream.chain.last.instance
         violated(InvariantViolation(stream.spec.id, last, detail))
@@ -228,36 +220,12 @@
         peer: InstanceId?,
         detail: String,
     ): List<StreamEffect> {
-        val outcome = when {
-            stream.delivered.isNotEmpty() -> Outcome.RAN
-            stream.unrun && reason != RefusalReason.DEADLINE -> Outcome.NOT_RUN
-            else -> Outcome.UNKNOWN
-        }
-        val refusal = Refusal(outcome, reason, Step.STAGE, peer, detail, RETRY_AFTER_MILLIS)
+        val refusal = refusals.failed(stream, reason, peer, detail)
         return listOf(StreamEffect.Fail(stream.spec.id, refusal)) + close(stream)
     }
 
-    private fun noChain(outcome: Outcome) = Refusal(
-        outcome,
-        RefusalReason.NO_UPSTREAM,
-        Step.ROUTE,
-        self,
-        "no chain covers the model's layers",
-        RETRY_AFTER_MILLIS,
-    )
-
     private fun close(stream: ActiveStream): List<StreamEffect> {
         streams.remove(stream.spec.id)
         return opener.cancels(stream, stream.chain.stages)
     }
-
-    private fun keepAlive(now: Moment): List<StreamEffect> {
-        if (aliveAt?.let { now - it < settings.aliveEvery } == true) return emptyList()
-        aliveAt = now
-        return streams.values.flatMap { it.chain.stages }.distinctBy { it.address }.map { StreamEffect.KeepAlive(it) }
-    }
-
-    private companion object {
-        const val RETRY_AFTER_MILLIS = 500L
-    }
 }
