--- a/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
@@ -35,8 +35,17 @@
         return chosen.toStage()
     }
 
-    private fun groups(request: ChainRequest, now: Moment): List<LayerGroup> =
-        layerGroups(table.serving(request.pool.id, now).filter { it.id !in request.excluded }, request.pool)
+    /** Where all upstreams of a range of layers are ejected, the one that returns first stays in use. */
+    private fun groups(request: ChainRequest, now: Moment): List<LayerGroup> {
+        val serving = table.serving(request.pool.id, now).toSet()
+        val usable = table.usable(request.pool.id).filter { it.id !in request.excluded }
+        return layerGroups(usable, request.pool).map { group ->
+            val members = group.members.filter { it in serving }
+            LayerGroup(group.layers, members.ifEmpty { listOf(group.members.minBy { it.ejectionEnd(now) }) })
+        }
+    }
+
+    private fun UpstreamRow.ejectionEnd(now: Moment): Moment = health.ejectedUntil ?: now
 
     private fun candidates(group: LayerGroup, now: Moment): List<StageCandidate> =
         sampler(group, now).map { StageCandidate(it, group, score(it, now)) }
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamTable.kt
@@ -76,8 +76,11 @@
     }
 
     /** Upstreams of [service] that may take new work: none that leaves, ejected ones only to keep the floor. */
-    fun serving(service: ServiceId, now: Moment): List<UpstreamRow> =
-        keepFloor(rows.values.filter { it.entry.service == service && it.isServing }, now)
+    fun serving(service: ServiceId, now: Moment): List<UpstreamRow> = keepFloor(usable(service), now)
+
+    /** Upstreams of [service] that do not leave, ejected ones included. */
+    internal fun usable(service: ServiceId): List<UpstreamRow> =
+        rows.values.filter { it.entry.service == service && it.isServing }
 
     /** Rows whose sidecars are to be asked now, at most [limit]; they count as asked. */
     fun takeDue(now: Moment, limit: Int): List<InstanceEntry> {
