--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,5 +1,7 @@
 package io.mimosatrail.bench.run
 
+import io.mimosatrail.bench.capacity.capacityBench
+import io.mimosatrail.bench.journal.journalBench
 import io.mimosatrail.bench.recovery.recoveryBench
 import io.mimosatrail.bench.routing.routingBench
 import io.mimosatrail.bench.throughput.throughputBench
@@ -8,5 +10,7 @@
 internal val allBenches: List<Bench> = listOf(
     throughputBench,
     routingBench,
+    journalBench,
     recoveryBench,
+    capacityBench,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/calls/SlotKeeper.kt
@@ -63,11 +63,21 @@
         }.map { }
     }
 
-    /** Deletes records written before [bound] from this owner's journal and from one sealed journal of [table]. */
-    suspend fun trim(table: SlotTable, epoch: Epoch, bound: WallTime): Result<Unit, StoreFault> =
-        journals.trim(epoch, bound).andThen { trimSealed(table, bound) }
+    /**
+     * Seals the journal of [epoch] and begins another under [nonce] that holds an even share of the slots; the rest is
+     * free. In one change, since another owner would otherwise take all of them.
+     */
+    suspend fun renew(epoch: Epoch, nonce: WriterNonce): Result<Epoch, StoreFault> = seal(setOf(epoch))
+        .andThen {
+            tables.update { checkNotNull(it) { "a table with owners is never deleted" }.renew(epoch, nonce) }
+        }
+        .map { table -> table.owners.first { it.nonce == nonce }.epoch }
+
+    /** Deletes a record of the own [epoch]. */
+    suspend fun delete(epoch: Epoch, sequence: Long): Result<Unit, StoreFault> = journals.delete(epoch, sequence)
 
-    private suspend fun trimSealed(table: SlotTable, bound: WallTime): Result<Unit, StoreFault> {
+    /** Deletes a page of records written before [bound] from the journal of [table] that was sealed first. */
+    suspend fun trimSealed(table: SlotTable, bound: WallTime): Result<Unit, StoreFault> {
         val oldest = table.sealed.firstOrNull() ?: return Ok(Unit)
         return journals.trim(oldest, bound).andThen { isEmpty ->
             if (isEmpty) tables.update { it.orEmpty(table).forget(oldest) }.map { } else Ok(Unit)
@@ -89,6 +99,12 @@
     private fun SlotTable.with(nonce: WriterNonce): SlotTable =
         if (owners.any { it.nonce == nonce }) this else register(self, address, nonce)
 
+    private fun SlotTable.renew(old: Epoch, nonce: WriterNonce): SlotTable {
+        if (owners.any { it.nonce == nonce }) return this
+        val renewed = retire(setOf(old)).register(self, address, nonce)
+        return renewed.takeFree(renewed.owners.last().epoch)
+    }
+
     private fun SlotTable?.orEmpty(template: SlotTable): SlotTable =
         this ?: SlotTable(List(template.slots.size) { null })
 
