--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/model/GateModel.kt
@@ -0,0 +1,49 @@
+package io.mimosatrail.bench.model
+
+import io.mimosatrail.core.admission.AdmissionGate
+import io.mimosatrail.core.admission.ConcurrencyLimit
+import io.mimosatrail.core.admission.ConcurrencySettings
+import io.mimosatrail.core.admission.GateEffect
+import io.mimosatrail.core.admission.QueuedWork
+import io.mimosatrail.core.id.RequestId
+import io.mimosatrail.core.outcome.RefusalReason
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The real admission gate beside one runner. */
+internal class GateModel(private val loop: EventLoop, private val runner: RunnerModel) {
+    private class Waiter(val start: () -> Unit, val refuse: (RefusalReason) -> Unit)
+
+    private val limit = ConcurrencyLimit(ConcurrencySettings(targetStep = 15.milliseconds))
+    private val gate = AdmissionGate(limit, QUEUE_CAPACITY)
+    private val waiters = HashMap<RequestId, Waiter>()
+
+    init {
+        runner.onStep = { time -> limit.onStep(time, gate.running, loop.now) }
+        loop.every(20.milliseconds) { apply(gate.onTick(loop.now)) }
+    }
+
+    fun offer(work: QueuedWork, start: () -> Unit, refuse: (RefusalReason) -> Unit) {
+        waiters[work.request] = Waiter(start, refuse)
+        apply(gate.offer(work, loop.now))
+    }
+
+    fun onEnded(request: RequestId) {
+        waiters.remove(request)
+        apply(gate.onEnded(request, loop.now))
+    }
+
+    private fun apply(effects: List<GateEffect>) {
+        runner.open = gate.running
+        runner.queued = gate.waiting
+        for (effect in effects) {
+            when (effect) {
+                is GateEffect.Start -> waiters.remove(effect.work.request)?.start?.invoke()
+                is GateEffect.Refuse -> waiters.remove(effect.work.request)?.refuse?.invoke(effect.reason)
+            }
+        }
+    }
+
+    private companion object {
+        const val QUEUE_CAPACITY = 64
+    }
+}
--- a/bench/src/main/kotlin/io/mimosatrail/bench/model/RunnerModel.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/model/RunnerModel.kt
@@ -8,6 +8,7 @@
 import io.mimosatrail.core.membership.UpstreamDescription
 import io.mimosatrail.core.membership.UpstreamLoad
 import io.mimosatrail.core.pipeline.LayerRange
+import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 
@@ -23,7 +24,7 @@
 internal const val BATCH_UNITS = 32
 
 /** Work of one sequence in one step of a runner; a prompt takes several units. */
-internal class StepItem(val units: Int, val done: () -> Unit)
+internal class StepItem(val units: Int, val since: Moment, val done: () -> Unit)
 
 /** A runner that batches continuously, in virtual time. */
 internal class RunnerModel(
@@ -51,8 +52,11 @@
     /** A dead runner neither steps nor answers. */
     var isAlive = true
 
-    var unitsRun = 0L
-        private set
+    /** Hears the time of each step of a token, waiting included. */
+    var onStep: (Duration) -> Unit = {}
+
+    /** Run once when the runner dies. */
+    val onDeath = mutableListOf<() -> Unit>()
 
     fun submit(item: StepItem) {
         if (!isAlive) return
@@ -75,6 +79,8 @@
     fun die() {
         isAlive = false
         waiting.clear()
+        onDeath.toList().forEach { it() }
+        onDeath.clear()
     }
 
     private fun step() {
@@ -89,8 +95,10 @@
     private fun finish(batch: List<StepItem>) {
         isStepping = false
         if (!isAlive) return
-        unitsRun += batch.sumOf { it.units }
-        batch.forEach { it.done() }
+        batch.forEach { item ->
+            if (item.units == 1) onStep(loop.now - item.since)
+            item.done()
+        }
         if (!isStepping) step()
     }
 
--- a/bench/src/main/kotlin/io/mimosatrail/bench/model/SaturatedRun.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/model/SaturatedRun.kt
@@ -1,7 +1,6 @@
 package io.mimosatrail.bench.model
 
 import io.mimosatrail.core.config.PoolPreference
-import io.mimosatrail.core.time.Moment
 import org.HdrHistogram.Histogram
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -59,16 +58,22 @@
 
     private fun openNext() {
         val entry = entries.random(random)
-        val prompt = random.nextInt(50, 400)
-        val output = random.nextInt(MEAN_OUTPUT_TOKENS / 2, MEAN_OUTPUT_TOKENS * 3 / 2)
-        val chain = entry.choose(prompt) ?: return loop.after(1.seconds) { openNext() }
+        val size =
+            StreamSize(random.nextInt(50, 400), random.nextInt(MEAN_OUTPUT_TOKENS / 2, MEAN_OUTPUT_TOKENS * 3 / 2))
+        val chain = entry.choose(size.promptTokens) ?: return loop.after(1.seconds) { openNext() }
+        val runners = chain.stages.map { fleet.byId.getValue(it.instance) }
         var last = loop.now
-        val onToken = { index: Int, now: Moment ->
-            if (index > 0) gaps.recordValue((now - last).inWholeMicroseconds)
-            last = now
-            count(index, prompt)
+        val onToken = { index: Int ->
+            if (index > 0) gaps.recordValue((loop.now - last).inWholeMicroseconds)
+            last = loop.now
+            count(index, size.promptTokens)
         }
-        StreamModel(fleet, entry, chain, prompt, output, onToken, ::openNext).open()
+        val onEnd = {
+            runners.forEach { it.open-- }
+            openNext()
+        }
+        runners.forEach { it.open++ }
+        StreamModel(fleet, entry, chain, size, StreamListener({ _, proceed -> proceed() }, onToken, onEnd)).open()
     }
 
     private fun count(index: Int, prompt: Int) {
--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/overload/OverloadBench.kt
@@ -0,0 +1,113 @@
+package io.mimosatrail.bench.overload
+
+import io.mimosatrail.bench.model.GatedRun
+import io.mimosatrail.bench.model.LoadRecord
+import io.mimosatrail.bench.run.Bench
+import io.mimosatrail.bench.run.BenchOptions
+import io.mimosatrail.bench.run.Figure
+import io.mimosatrail.bench.run.LinePlot
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+private const val RUNNERS = 40
+private const val TARGET_GOODPUT_RATIO = 0.9
+private const val TARGET_FIRST_TOKEN_MILLIS = 970.0
+private const val TARGET_REFUSAL_MILLIS = 50.0
+private const val TARGET_UPSTREAM_RATIO = 1.2
+private const val TARGET_RECOVERY_SECONDS = 10.0
+
+/** Twice the capacity, the time after it, and the loss of a third of the runners. */
+internal val overloadBench = Bench(
+    "overload",
+    "goodput, first token and refusals at twice the capacity, and load on upstreams as a third fail (virtual time)",
+    ::run,
+)
+
+private class Overload(private val options: BenchOptions) {
+    private val window: Duration = if (options.quick) 10.seconds else 30.seconds
+    private val rates = if (options.quick) listOf(120.0, 180.0, 240.0) else (1..11).map { it * 30.0 }
+
+    fun figures(): List<Figure> {
+        val curve = rates.associateWith { steady(it) }
+        val (capacity, peak) = curve.maxBy { it.value.goodput }
+        val double = steady(2 * capacity)
+        plot(curve + (2 * capacity to double))
+        val figures = listOf(
+            figure("peak goodput", "tokens/s", peak.goodput),
+            figure("offered at the peak", "requests/s", capacity),
+            figure(
+                "goodput at twice that, of the peak",
+                "ratio",
+                double.goodput / peak.goodput,
+                TARGET_GOODPUT_RATIO,
+                false,
+            ),
+            figure("p95 first token at twice", "ms", double.firstTokenMillis(95.0), TARGET_FIRST_TOKEN_MILLIS),
+            figure("p95 refusal at twice", "ms", double.refusalMillis(95.0), TARGET_REFUSAL_MILLIS),
+            figure("p50 refusal at twice", "ms", double.refusalMillis(50.0)),
+            figure("refused at twice", "ratio", double.refused.toDouble() / double.offered),
+            figure("upstream load at twice, of offered", "ratio", double.attempts.toDouble() / double.offered),
+        )
+        return figures + recovery(capacity) + failures(capacity)
+    }
+
+    private val LoadRecord.goodput: Double get() = tokens / window.toDouble(DurationUnit.SECONDS)
+
+    private fun steady(rate: Double): LoadRecord {
+        val run = GatedRun(RUNNERS, options.seed)
+        run.run(rate, 20.seconds)
+        return run.run(rate, window)
+    }
+
+    /** Seconds from the end of the peak until a second passes without refusal and within the first-token bound. */
+    private fun recovery(capacity: Double): Figure {
+        val run = GatedRun(RUNNERS, options.seed)
+        run.run(2 * capacity, 20.seconds)
+        val seconds = (1..30).firstOrNull {
+            val second = run.run(capacity / 2, 1.seconds)
+            second.refused == 0 && second.firstTokenMillis(95.0) <= TARGET_FIRST_TOKEN_MILLIS
+        }
+        return figure("normal after the peak", "s", (seconds ?: 99).toDouble(), TARGET_RECOVERY_SECONDS)
+    }
+
+    private fun failures(capacity: Double): List<Figure> {
+        val run = GatedRun(RUNNERS, options.seed)
+        run.run(capacity / 2, 10.seconds)
+        run.fleet.runners.filterIndexed { i, _ -> i % 3 == 1 }.forEach { it.die() }
+        val after = run.run(capacity / 2, window)
+        return listOf(
+            figure(
+                "upstream load as a third fail, of offered",
+                "ratio",
+                after.attempts.toDouble() / after.offered,
+                TARGET_UPSTREAM_RATIO,
+            ),
+            figure("refused as a third fail", "ratio", after.refused.toDouble() / after.offered),
+            figure("p95 first token as a third fail", "ms", after.firstTokenMillis(95.0)),
+            figure("streams open on failed runners", "streams", after.cut.toDouble()),
+        )
+    }
+
+    private fun figure(
+        name: String,
+        unit: String,
+        value: Double,
+        target: Double? = null,
+        isMost: Boolean = true,
+    ): Figure {
+        val met = target?.let { if (isMost) value <= it else value >= it }
+        return Figure("overload", name, unit, value, target = target, met = met, seed = options.seed)
+    }
+
+    private fun plot(curve: Map<Double, LoadRecord>) {
+        LinePlot("Goodput over offered load", "requests/s offered", "tokens/s")
+            .line("goodput", curve.keys.toList(), curve.values.map { it.goodput })
+            .save(options.output, "overload")
+    }
+}
+
+private fun run(options: BenchOptions): List<Figure> {
+    println("Runners, links and time are a model in virtual time; admission, routing and retries are the code of core.")
+    return Overload(options).figures()
+}
--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.bench.run
 
+import io.mimosatrail.bench.overload.overloadBench
 import io.mimosatrail.bench.routing.routingBench
 import io.mimosatrail.bench.throughput.throughputBench
 
@@ -7,4 +8,5 @@
 internal val allBenches: List<Bench> = listOf(
     throughputBench,
     routingBench,
+    overloadBench,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
@@ -8,16 +8,18 @@
 import io.mimosatrail.core.time.Moment
 import kotlin.random.Random
 
-/** Chooses up to two upstreams of a group to be weighed against each other. */
+/** Chooses a few upstreams of a group to be weighed against each other. */
 typealias GroupSampler = (group: LayerGroup, now: Moment) -> List<UpstreamRow>
 
+private const val CHOICES = 2
+
 /** Chooses chains over the rows of [table]. Not thread-safe. */
 class ChainRouter(
     private val table: UpstreamTable,
     random: Random,
     private val link: LinkCost = placeDistance,
     private val score: UpstreamScore = ::predictedTime,
-    private val sampler: GroupSampler = { group, _ -> twoAtRandom(group.members, random) },
+    private val sampler: GroupSampler = { group, _ -> someAtRandom(group.members, CHOICES, random) },
 ) {
     /** A chain that covers the layers of the request's pool, or null where none can. */
     fun chooseChain(request: ChainRequest, now: Moment): Chain? {
@@ -42,7 +44,7 @@
         sampler(group, now).map { StageCandidate(it, group, score(it, now)) }
 
     private fun joinFor(pool: ModelPool): CostJoin = when (pool.preference) {
-        PoolPreference.THROUGHPUT -> slowestPart
+        PoolPreference.THROUGHPUT -> sumOfTimes
         PoolPreference.RECOVERY -> sumOfTimes
     }
 }
@@ -61,12 +63,12 @@
         engine.adapters.containsAll(pool.adapters)
 }
 
-/** Two of [members] at random, or all where there are no more. */
-fun twoAtRandom(members: List<UpstreamRow>, random: Random): List<UpstreamRow> {
-    if (members.size <= 2) return members
-    val first = random.nextInt(members.size)
-    val second = (first + 1 + random.nextInt(members.size - 1)) % members.size
-    return listOf(members[first], members[second])
+/** [count] of [members] at random, or all where there are no more. */
+fun someAtRandom(members: List<UpstreamRow>, count: Int, random: Random): List<UpstreamRow> {
+    if (members.size <= count) return members
+    val chosen = LinkedHashSet<Int>(count * 2)
+    while (chosen.size < count) chosen += random.nextInt(members.size)
+    return chosen.map { members[it] }
 }
 
 private fun List<StageCandidate>.toChain(pool: ModelPool): Chain {
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/PredictedTime.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/PredictedTime.kt
@@ -7,6 +7,7 @@
 
 private val WARM_UP: Duration = 10.seconds
 private const val COLD_FACTOR = 4.0
+private const val STEADY_BATCH = 8.0
 private const val DEFAULT_STEP_MICROS = 20_000.0
 
 /** Predicted time of new work at an upstream, in microseconds; compared only with others of the same group. */
@@ -17,7 +18,7 @@
     val load = row.description?.load ?: return Double.MAX_VALUE
     val step = if (load.meanStepMicros > 0) load.meanStepMicros.toDouble() else DEFAULT_STEP_MICROS
     val outstanding = load.waiting + load.running + row.sent.count(now) + 1
-    return outstanding * step * coldness(row, now)
+    return (1 + outstanding / STEADY_BATCH) * step * coldness(row, now)
 }
 
 private fun coldness(row: UpstreamRow, now: Moment): Double {
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/SentCounter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/SentCounter.kt
@@ -7,7 +7,7 @@
 import kotlin.time.DurationUnit
 
 /** Counts requests sent since the last load report; they fade, as the reports may never come. */
-internal class SentCounter(private val halfLife: Duration = 1.seconds) {
+internal class SentCounter(private val halfLife: Duration = 4.seconds) {
     private var value = 0.0
     private var at: Moment? = null
 
