Admit through a gate, score stages by time a token, carry loads of all stages

AdmissionGate holds the open requests of an upstream to a limit that follows the step time, with the queue behind it; work once queued is kept although the wait turns out longer, up to its expiry.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/model/GatedRequest.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/model/GatedRequest.kt
@@ -13,9 +13,11 @@
 import io.mimosatrail.core.retry.RetryDecision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val WORKSPACES = 10
 private val START_WITHIN: Duration = 670.milliseconds
+private val DEADLINE: Duration = 10.seconds
 private val LOSS_NOTICE: Duration = 200.milliseconds
 
 /** One request of a caller, with all its attempts; it ends with its last token, a refusal or a cut. */
@@ -72,7 +74,8 @@
             runner.onDeath += { onDeath(runner) }
             val gate = run.gates.getValue(runner.id)
             entered += gate
-            val work = QueuedWork(key, WorkspaceId("w${number % WORKSPACES}"), 10, arrived + START_WITHIN)
+            val workspace = WorkspaceId("w${number % WORKSPACES}")
+            val work = QueuedWork(key, workspace, 10, arrived + START_WITHIN, expires = arrived + DEADLINE)
             gate.offer(work, proceed) { reason -> loop.after(stream.toEntry(runner)) { fail(runner.id, reason) } }
         }
 
--- a/bench/src/main/kotlin/io/mimosatrail/bench/model/RunnerModel.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/model/RunnerModel.kt
@@ -40,6 +40,9 @@
 
     val id: InstanceId get() = entry.id
 
+    /** Ratio of the model's layers that this runner holds. */
+    val layerShare: Double get() = layers.size.toDouble() / modelLayers
+
     /** Sequences that are open here. */
     var open = 0
 
--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.bench.run
 
 import io.mimosatrail.bench.overload.overloadBench
+import io.mimosatrail.bench.recovery.recoveryBench
 import io.mimosatrail.bench.routing.routingBench
 import io.mimosatrail.bench.throughput.throughputBench
 
@@ -9,4 +10,5 @@
     throughputBench,
     routingBench,
     overloadBench,
+    recoveryBench,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/admission/QueuedWork.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/admission/QueuedWork.kt
@@ -7,7 +7,7 @@
 /**
  * Work that waits at an upstream; lower [priority] runs first.
  *
- * It is of no use unless it starts by [startBy]. [share] is the weight of its workspace, and [cost] its size in
+ * It is queued only where it is predicted to start by [startBy], and given up at [expires]. [share] is the weight of its workspace, and [cost] its size in
  * units of the upstream's choice.
  */
 data class QueuedWork(
@@ -17,4 +17,5 @@
     val startBy: Moment,
     val share: Int = 1,
     val cost: Double = 1.0,
+    val expires: Moment = startBy,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageEmitter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageEmitter.kt
@@ -78,6 +78,7 @@
             frame.trail + sequence.stage.layers,
             route.takeIf { first },
             restored,
+            frame.loads,
         )
         return StageEffect.Send(next.instance, next.address, message)
     }
@@ -89,7 +90,7 @@
         val route = sequence.route
         val finish = FinishReason.LENGTH.takeIf { frame.index + 1 >= route.maxTokens }
         val trail = frame.trail + sequence.stage.layers
-        val sampled = SampledToken(frame.request, sequence.generation, frame.index, token, trail, finish)
+        val sampled = SampledToken(frame.request, sequence.generation, frame.index, token, trail, finish, frame.loads)
         val first = route.chain.first
         val back = StageEffect.Send(first.instance, first.address, sampled).takeIf { finish == null }
         return listOfNotNull(StageEffect.Send(route.entry, route.entryAddress, sampled), back)
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamMessage.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamMessage.kt
@@ -21,7 +21,8 @@
  *
  * [index] is the index of the generated token that results. [input] holds token ids for the first stage (4 bytes
  * each, big endian) and boundary activations for the others. [trail] lists the ranges already run. [route] comes with
- * the first frame of a generation, [restore] with the first frame to a stage that replaces a lost one.
+ * the first frame of a generation, [restore] with the first frame to a stage that replaces a lost one. [loads] are
+ * those of the stages before, on some frames.
  */
 @Serializable
 @SerialName("frame")
@@ -36,10 +37,15 @@
     val trail: List<LayerRange>,
     val route: Route? = null,
     val restore: RestoredState? = null,
+    val loads: List<StageLoad> = emptyList(),
 ) : StreamMessage {
     /** Position after the last one of this frame. */
     val end: Int get() = position + count
 
+    /** The same frame with [load] added to what the stages before have said. */
+    fun withLoad(load: StageLoad): Frame =
+        Frame(request, generation, index, nextLayer, position, count, input, trail, route, restore, loads + load)
+
     /** True where [input] holds the same number of bytes for each position. */
     fun isWellFormed(): Boolean = count > 0 && input.isNotEmpty() && input.size % count == 0
 
@@ -47,6 +53,10 @@
     fun leadsTo(layers: LayerRange): Boolean = nextLayer == layers.first && trail.covers(nextLayer)
 }
 
+/** Load of one stage, carried along the chain to the entry. */
+@Serializable
+data class StageLoad(val instance: InstanceId, val load: UpstreamLoad)
+
 /** A token from the last stage, to the first stage and to the entry. [finish] is null while more follow. */
 @Serializable
 @SerialName("token")
@@ -57,7 +67,7 @@
     val token: Int,
     val trail: List<LayerRange>,
     val finish: FinishReason? = null,
-    val load: UpstreamLoad? = null,
+    val loads: List<StageLoad> = emptyList(),
 ) : StreamMessage
 
 /** A stage could not run a frame; sent to the entry. The peer of [refusal] is the stage at fault. */
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/ChainRouter.kt
@@ -12,6 +12,8 @@
 typealias GroupSampler = (group: LayerGroup, now: Moment) -> List<UpstreamRow>
 
 private const val CHOICES = 2
+private const val RESTORE_MICROS_PER_LAYER = 1_000.0
+private const val SPARES_OF_NONE = 0.1
 
 /** Chooses chains over the rows of [table]. Not thread-safe. */
 class ChainRouter(
@@ -23,8 +25,8 @@
 ) {
     /** A chain that covers the layers of the request's pool, or null where none can. */
     fun chooseChain(request: ChainRequest, now: Moment): Chain? {
-        val candidates = groups(request, now).flatMap { candidates(it, now) }
-        val chosen = cheapestChain(candidates, request.pool.layers, link, joinFor(request.pool)) ?: return null
+        val candidates = groups(request, now).flatMap { candidates(it, request, now) }
+        val chosen = cheapestChain(candidates, request.pool.layers, link, sumOfTimes) ?: return null
         chosen.forEach { it.row.sent.add(now) }
         return chosen.toChain(request.pool)
     }
@@ -32,7 +34,7 @@
     /** An upstream that holds exactly [layers], or null where none may be used. */
     fun chooseStage(request: ChainRequest, layers: LayerRange, now: Moment): Stage? {
         val group = groups(request, now).firstOrNull { it.layers == layers } ?: return null
-        val chosen = candidates(group, now).minByOrNull { it.micros } ?: return null
+        val chosen = candidates(group, request, now).minByOrNull { it.micros } ?: return null
         chosen.row.sent.add(now)
         return chosen.toStage()
     }
@@ -40,15 +42,18 @@
     private fun groups(request: ChainRequest, now: Moment): List<LayerGroup> =
         layerGroups(table.serving(request.pool.id, now).filter { it.id !in request.excluded }, request.pool)
 
-    private fun candidates(group: LayerGroup, now: Moment): List<StageCandidate> =
-        sampler(group, now).map { StageCandidate(it, group, score(it, now)) }
-
-    private fun joinFor(pool: ModelPool): CostJoin = when (pool.preference) {
-        PoolPreference.THROUGHPUT -> sumOfTimes
-        PoolPreference.RECOVERY -> sumOfTimes
+    private fun candidates(group: LayerGroup, request: ChainRequest, now: Moment): List<StageCandidate> {
+        val risk = if (request.pool.preference == PoolPreference.RECOVERY) recoveryRisk(group) else 0.0
+        return sampler(group, now).map { StageCandidate(it, group, score(it, now) + risk) }
     }
 }
 
+/** Time that the loss of a stage would cost, in microseconds: more for more layers, less for more spares. */
+private fun recoveryRisk(group: LayerGroup): Double {
+    val spares = group.members.size - 1
+    return RESTORE_MICROS_PER_LAYER * group.layers.size / (spares + SPARES_OF_NONE)
+}
+
 /** Groups [rows] by layer range, leaving out those that hold another model, version or shape than [pool] says. */
 internal fun layerGroups(rows: List<UpstreamRow>, pool: ModelPool): List<LayerGroup> = rows
     .filter { it.holds(pool) }
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamHealth.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamHealth.kt
@@ -25,9 +25,10 @@
         failures++
     }
 
-    /** Notes finished work; an answer to a question about load is not enough. */
+    /** Notes a sign of work; one that comes sooner after an ejection than it lasted proves nothing. */
     fun onSuccess(now: Moment) {
-        if (isEjected(now)) return
+        val ended = ejectedUntil ?: return
+        if (now - ended < ejection(failures - 1)) return
         failures = 0
         ejectedUntil = null
     }
