--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -1,5 +1,7 @@
 package io.mimosatrail.bench.run
 
+import io.mimosatrail.bench.capacity.capacityBench
+import io.mimosatrail.bench.journal.journalBench
 import io.mimosatrail.bench.limits.limitsBench
 import io.mimosatrail.bench.overload.overloadBench
 import io.mimosatrail.bench.recovery.recoveryBench
@@ -12,5 +14,7 @@
     routingBench,
     limitsBench,
     overloadBench,
+    journalBench,
     recoveryBench,
+    capacityBench,
 )
