--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/FrameCost.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/FrameCost.kt
@@ -2,10 +2,12 @@
 
 import io.mimosatrail.core.id.ConfigRevision
 import io.mimosatrail.core.id.Generation
+import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.membership.UpstreamLoad
 import io.mimosatrail.core.pipeline.Frame
 import io.mimosatrail.core.pipeline.SampledToken
+import io.mimosatrail.core.pipeline.StageLoad
 import io.mimosatrail.core.pipeline.StreamMessage
 import io.mimosatrail.protocol.Describe
 import io.mimosatrail.protocol.Described
@@ -35,7 +37,8 @@
 
 private fun token(stages: Int): PeerMessage {
     val load = UpstreamLoad(waiting = 3, running = 20, meanStepMicros = 14_000)
-    return message(SampledToken(request, Generation(0), 100, 65, List(stages, ::layers), load = load))
+    val loads = List(stages) { StageLoad(InstanceId("sidecar-ahmedabad-1-$it"), load) }
+    return message(SampledToken(request, Generation(0), 100, 65, List(stages, ::layers), loads = loads))
 }
 
 private fun frame(stages: Int, bytes: Int): PeerMessage {
