--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -2,6 +2,8 @@
 
 import io.mimosatrail.bench.capacity.capacityBench
 import io.mimosatrail.bench.journal.journalBench
+import io.mimosatrail.bench.limits.limitsBench
+import io.mimosatrail.bench.overload.overloadBench
 import io.mimosatrail.bench.recovery.recoveryBench
 import io.mimosatrail.bench.routing.routingBench
 import io.mimosatrail.bench.throughput.throughputBench
@@ -10,6 +12,8 @@
 internal val allBenches: List<Bench> = listOf(
     throughputBench,
     routingBench,
+    limitsBench,
+    overloadBench,
     journalBench,
     recoveryBench,
     capacityBench,
--- a/core/src/test/kotlin/io/mimosatrail/core/routing/UpstreamTableTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/routing/UpstreamTableTest.kt
@@ -69,6 +69,9 @@
                 return length
             }
             List(7) { ejectionLength().inWholeSeconds } shouldBe listOf(1L, 2L, 4L, 8L, 16L, 30L, 30L)
+            table.onLoad(a, UpstreamLoad(), now + 29.seconds)
+            ejectionLength().inWholeSeconds shouldBe 30
+            now += 30.seconds
             table.onLoad(a, UpstreamLoad(), now)
             ejectionLength().inWholeSeconds shouldBe 1
         }
