--- a/core/src/test/kotlin/io/mimosatrail/core/pipeline/RandomStreamsTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/pipeline/RandomStreamsTest.kt
@@ -76,12 +76,13 @@
 private fun scheduleFault(cluster: VirtualCluster) {
     cluster.time.after(2.seconds * cluster.random.nextDouble()) {
         val stage = cluster.stages.random(cluster.random)
-        when (cluster.random.nextInt(6)) {
+        when (cluster.random.nextInt(7)) {
             0 -> stage.crash()
             1 -> restartLater(cluster, stage)
             2 -> stage.pausedUntil = cluster.time.now + 3.seconds * cluster.random.nextDouble()
             3 -> stage.slowdown = 100
             4 -> stage.crash(silent = true)
+            5 -> stage.drain()
             else -> cluster.entry.pausedUntil = cluster.time.now + 1.seconds * cluster.random.nextDouble()
         }
     }
