--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/sidecar/stage/StageRunner.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/sidecar/stage/StageRunner.kt
@@ -5,10 +5,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.mimosatrail.core.membership.EngineDescription
 import io.mimosatrail.core.membership.UpstreamLoad
+import io.mimosatrail.core.pipeline.Frame
 import io.mimosatrail.core.pipeline.InvariantViolation
 import io.mimosatrail.core.pipeline.KvSnapshot
 import io.mimosatrail.core.pipeline.SampledToken
 import io.mimosatrail.core.pipeline.StageEffect
+import io.mimosatrail.core.pipeline.StageLoad
 import io.mimosatrail.core.pipeline.StageRefusal
 import io.mimosatrail.core.pipeline.StageResult
 import io.mimosatrail.core.pipeline.StageSettings
@@ -111,7 +113,12 @@
 
     private fun withLoad(message: StreamMessage): StreamMessage = when {
         message is StageRefusal -> message.copy(load = load())
-        message is SampledToken && message.index % LOAD_EVERY_TOKENS == 0 -> message.copy(load = load())
+        message is SampledToken && message.index % LOAD_EVERY_TOKENS == 0 ->
+            message.copy(loads = message.loads + StageLoad(host.self.id, load()))
+
+        message is Frame && message.index % LOAD_EVERY_TOKENS == 0 ->
+            message.withLoad(StageLoad(host.self.id, load()))
+
         else -> message
     }
 
