Spread revisions by relays, notices and neighbour checks

Cause: every process watched the store, so that store calls grew with processes, and a cut place depended on the store. Found by the randomised runs: processes of places of up to four ranked themselves last, because rendezvousSubset keeps the order given for short lists; nobody watched the store.

--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/spread/SpreadView.kt
@@ -0,0 +1,37 @@
+package io.mimosatrail.core.spread
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.routing.rendezvousSubset
+import io.mimosatrail.core.routing.rendezvousWeight
+
+/** The live list as one process sees it: the ranks within its place and its neighbours. */
+internal class SpreadView(self: SpreadMember, listed: List<SpreadMember>, settings: SpreadSettings) {
+    private val others = listed.filter { it.id != self.id }.distinctBy { it.id }
+    private val near = others.filter { it.place == self.place }
+
+    /** True where the list names nobody at all, not even this process: it was not read yet. */
+    val unknown: Boolean = listed.isEmpty()
+
+    /** Members of the place, first those that watch the store and tell the others. */
+    val ranked: List<InstanceId> = (near + self).map { it.id }
+        .sortedWith(
+            compareByDescending<InstanceId> {
+                rendezvousWeight(self.place.value, it.value)
+            }.thenBy { it.value },
+        )
+        .take(settings.pushers)
+
+    /** Position of this process among [ranked], or null where it is not among them. */
+    val rank: Int? = ranked.indexOf(self.id).takeIf { it >= 0 }
+
+    /** Every other member of the place. */
+    val place: List<InstanceId> = near.map { it.id }
+
+    /** The members that this process checks. */
+    val neighbours: List<InstanceId> =
+        neighboursAmong(self, near, settings.nearNeighbours) +
+            neighboursAmong(self, others.filter { it.place != self.place }, settings.farNeighbours)
+
+    private fun neighboursAmong(self: SpreadMember, members: List<SpreadMember>, count: Int): List<InstanceId> =
+        rendezvousSubset(self.id.value, members, count) { it.id.value }.map { it.id }
+}
