--- a/standins/src/main/kotlin/io/mimosatrail/standins/instances/InstanceListStandin.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/instances/InstanceListStandin.kt
@@ -8,6 +8,7 @@
 import io.mimosatrail.standins.refuse
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
+import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.http4k.routing.bind
@@ -37,12 +38,14 @@
     /** Adds or replaces a row. */
     @Synchronized
     fun put(row: InstanceRow) {
+        keepFrozen()
         history += Change(System.nanoTime(), row.id, row)
     }
 
     /** Removes the row of [id]. */
     @Synchronized
     fun remove(id: String) {
+        keepFrozen()
         history += Change(System.nanoTime(), id, null)
     }
 
@@ -54,6 +57,10 @@
         return seen
     }
 
+    private fun keepFrozen() {
+        if (faults.current.frozen) visible()
+    }
+
     private fun listAt(nanos: Long): List<InstanceRow> {
         val rows = LinkedHashMap<String, InstanceRow?>()
         history.filter { it.nanos <= nanos }.forEach { rows[it.id] = it.row }
@@ -62,7 +69,7 @@
 
     private fun handler(): HttpHandler = routes(
         faults.routes(),
-        "/v1/instances" bind Method.GET to { list() },
+        "/v1/instances" bind Method.GET to ::list,
         "/v1/instances/{id}" bind Method.PUT to { request ->
             put(request.read<InstanceRow>())
             Response(Status.NO_CONTENT)
@@ -73,10 +80,12 @@
         },
     )
 
-    private fun list(): Response = if (faults.current.outage) {
-        refuse(Status.SERVICE_UNAVAILABLE, "unavailable", "the instance list is down")
-    } else {
-        answer(InstancesBody(visible()))
+    private fun list(request: Request): Response {
+        if (faults.current.outage) return refuse(Status.SERVICE_UNAVAILABLE, "unavailable", "the instance list is down")
+        val rows = visible()
+        val tag = "\"${rows.hashCode()}\""
+        if (request.header("If-None-Match") == tag) return Response(Status.NOT_MODIFIED).header("ETag", tag)
+        return answer(InstancesBody(rows)).header("ETag", tag)
     }
 
     private class Change(val nanos: Long, val id: String, val row: InstanceRow?)
