Check several neighbours quickly until enough sources were heard

The scenarios and the demo wait for readiness before the first request, as the balancer does; what they then expect is unchanged.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/demo/Demo.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/demo/Demo.kt
@@ -81,7 +81,12 @@
         val inForce = eventually { fleet.running.all { it.daemon.status().revision >= 1 } }
         report.check("the ticket is in force at every process", inForce)
         val known =
-            eventually { entries.all { it.daemon.status().upstreams.size == fleet.running.size - entries.size } }
+            eventually {
+                entries.map { it.daemon.status() }.all {
+                    it.ready &&
+                        it.upstreams.size == fleet.running.size - entries.size
+                }
+            }
         report.check("both entries know every upstream", known)
     }
 
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
@@ -55,11 +55,11 @@
         return ledger.violations(world.records())
     }
 
-    /** Waits until each entry knows every upstream, so that a story starts in a settled state. */
+    /** Waits until each entry is ready and knows every upstream, so that a story starts in a settled state. */
     private suspend fun awaitKnown() {
         val sidecars = world.fleet.running.size - scenario.entries.size
         val settled = eventually {
-            scenario.entries.all { world.member(it).daemon.status().upstreams.size == sidecars }
+            scenario.entries.map { world.member(it).daemon.status() }.all { it.ready && it.upstreams.size == sidecars }
         }
         check(settled) { "the entries did not learn of all upstreams" }
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/spread/ConfigSpread.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/spread/ConfigSpread.kt
@@ -97,6 +97,8 @@
         return store.onWatchEnded(now, end)
     }
 
+    private fun isHeardEnough() = heard.isEnough(view.neighbours.size)
+
     /** Whom to tell of a revision that [source] gave. */
     private fun audience(source: InstanceId?): List<InstanceId> {
         val rank = view.rank
@@ -142,7 +144,7 @@
 
     private fun checks(now: Moment): List<SpreadEffect> {
         if (now < nextCheck) return emptyList()
-        nextCheck = now + jittered(settings.checkPeriod)
+        nextCheck = now + jittered(if (isHeardEnough()) settings.checkPeriod else settings.startCheckPeriod)
         return (neighboursToCheck() + relaysToProbe()).distinct().flatMap { asks.ask(it, revision) }
     }
 
