Be ready only with configuration

Cause: a process that had read an empty log was ready, and answered 401 to a valid key until it heard of the first ticket (scenario same-report-three-times). Change: readiness needs a revision above 0 as well.

--- a/core/src/main/kotlin/io/mimosatrail/core/spread/ConfigSpread.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/spread/ConfigSpread.kt
@@ -38,11 +38,8 @@
     var isRelay: Boolean = false
         private set
 
-    /** True once the store or several peers were heard since the start or a pause, and while not cut off. */
-    fun isReady(now: Moment): Boolean = !heard.isPaused(now) &&
-        !isCutOff(now) &&
-        heard.isEnough(view.neighbours.size) &&
-        (heard.storeRead || revision.value > 0)
+    /** True with configuration once the store or several peers were heard since the start or a pause. */
+    fun isReady(now: Moment): Boolean = revision.value > 0 && !heard.isPaused(now) && !isCutOff(now) && isHeardEnough()
 
     /** True where neither the store nor any peer was heard for the bound of the settings. */
     fun isCutOff(now: Moment): Boolean = heard.silence(now).let { it == null || it > settings.contactBound }
