--- a/bench/src/main/kotlin/io/mimosatrail/bench/config/ConfigBench.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/config/ConfigBench.kt
@@ -25,9 +25,10 @@
 private val STEADY = 30.seconds
 
 /** Spread of the configuration in virtual time, over one-way latencies of 1 ms in a place and 8 ms between places. */
-internal val configBench = Bench("config", "spread of a ticket and its cost, by fleet size, in virtual time") { options ->
-    SIZES.filter { !options.quick || it <= 330 }.flatMap { SpreadMeasurement(it, options).run() }
-}
+internal val configBench =
+    Bench("config", "spread of a ticket and its cost, by fleet size, in virtual time") { options ->
+        SIZES.filter { !options.quick || it <= 330 }.flatMap { SpreadMeasurement(it, options).run() }
+    }
 
 private class SpreadMeasurement(private val size: Int, private val options: BenchOptions) {
     private val fleet = SpreadSimulation(options.seed)
@@ -59,8 +60,18 @@
         val watches = size / SpreadSettings().watchWait.inWholeMilliseconds.milliseconds.inWholeSeconds.toDouble()
         return listOf(
             figure("store calls, every process watching as baseline (calculated)", "1/s", callRate, baseline = watches),
-            figure("messages sent and received by a process", "B/s", (bytes() - bytes) * 2 / seconds / size, BYTES_TARGET),
-            figure("processor time of the decisions of a process, sockets left out", "% of a core", cpu, CORE_TARGET_PERCENT),
+            figure(
+                "messages sent and received by a process",
+                "B/s",
+                (bytes() - bytes) * 2 / seconds / size,
+                BYTES_TARGET,
+            ),
+            figure(
+                "processor time of the decisions of a process, sockets left out",
+                "% of a core",
+                cpu,
+                CORE_TARGET_PERCENT,
+            ),
         )
     }
 
