--- a/bench/src/main/kotlin/io/mimosatrail/bench/config/RandomSchedule.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/config/RandomSchedule.kt
@@ -49,12 +49,18 @@
             5 -> fleet.store.latency = 3.milliseconds * random.nextInt(1, 200)
             6 -> fleet.cut(places.random(random))
             7 -> fleet.cutFromStore(places.random(random))
-            8 -> fleet.living.randomOrNull(random)?.let { fleet.isolate(it) }
-            9 -> replace()
-            10 -> fleet.living.randomOrNull(random)?.pause()
-            11 -> fleet.living.filter { it.paused }.randomOrNull(random)?.resume()
             12 -> fleet.loss = MAX_LOSS * random.nextDouble()
-            else -> if (random.nextBoolean()) fleet.heal() else fleet.relist()
+            13 -> if (random.nextBoolean()) fleet.heal() else fleet.relist()
+            else -> strikeProcess()
+        }
+    }
+
+    private fun strikeProcess() {
+        when (random.nextInt(4)) {
+            0 -> fleet.living.randomOrNull(random)?.let { fleet.isolate(it) }
+            1 -> replace()
+            2 -> fleet.living.randomOrNull(random)?.pause()
+            else -> fleet.living.filter { it.paused }.randomOrNull(random)?.resume()
         }
     }
 
--- a/core/src/main/kotlin/io/mimosatrail/core/spread/SourcesHeard.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/spread/SourcesHeard.kt
@@ -3,7 +3,7 @@
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 
-/** What this process has heard since it started or woke, which decides whether it is ready and whether it is cut off. */
+/** What this process has heard since it started or woke: decides whether it is ready and whether it is cut off. */
 internal class SourcesHeard(private val settings: SpreadSettings) {
     private var lastTick: Moment? = null
     private var lastContact: Moment? = null
