--- a/core/src/main/kotlin/io/mimosatrail/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/admission/AdmissionQueue.kt
@@ -35,8 +35,8 @@
         return work
     }
 
-    /** Takes out all work that can no longer start in time. */
-    fun expire(now: Moment): List<QueuedWork> = removeWhere { it.startBy < now }
+    /** Takes out all work that has expired. */
+    fun expire(now: Moment): List<QueuedWork> = removeWhere { it.expires < now }
 
     /** Takes out the work of [request], whose caller has left. */
     fun remove(request: RequestId): QueuedWork? = removeWhere { it.request == request }.firstOrNull()
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageEmitter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageEmitter.kt
@@ -77,6 +77,7 @@
             frame.trail + sequence.stage.layers,
             route.takeIf { first },
             restored,
+            frame.loads,
         )
         return StageEffect.Send(next.instance, next.address, message)
     }
@@ -91,7 +92,7 @@
         val route = sequence.route
         val finish = FinishReason.LENGTH.takeIf { frame.index + 1 >= route.maxTokens }
         val trail = frame.trail + sequence.stage.layers
-        val sampled = SampledToken(frame.request, sequence.generation, frame.index, token, trail, finish)
+        val sampled = SampledToken(frame.request, sequence.generation, frame.index, token, trail, finish, frame.loads)
         val first = route.chain.first
         val back = StageEffect.Send(first.instance, first.address, sampled).takeIf { finish == null }
         return listOfNotNull(StageEffect.Send(route.entry, route.entryAddress, sampled), back)
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StreamTable.kt
@@ -111,7 +111,7 @@
         if (checks.trail && !sampled.trail.covers(layers)) return violate(stream, "the trail does not cover the model")
         observe(stream, now)
         stream.delivered += sampled.token
-        val loads = listOfNotNull(sampled.load?.let { StreamEffect.Loaded(stream.chain.last.instance, it) })
+        val loads = sampled.loads.map { StreamEffect.Loaded(it.instance, it.load) }
         val deliver = StreamEffect.Deliver(stream.spec.id, index, sampled.token)
         return loads + deliver + finish(stream, sampled)
     }
