--- /dev/null
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/config/ConfigBench.kt
@@ -0,0 +1,110 @@
+package io.mimosatrail.bench.config
+
+import io.mimosatrail.bench.run.Bench
+import io.mimosatrail.bench.run.BenchOptions
+import io.mimosatrail.bench.run.Figure
+import io.mimosatrail.core.id.ConfigRevision
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.spread.SpreadSettings
+import io.mimosatrail.protocol.ConfigFetch
+import io.mimosatrail.protocol.ConfigState
+import io.mimosatrail.protocol.Envelope
+import io.mimosatrail.protocol.PeerCodec
+import io.mimosatrail.protocol.PeerMessage
+import io.mimosatrail.protocol.RevisionNotice
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private const val PLACES = 6
+private const val FRAME_HEADER_BYTES = 4
+private const val BYTES_TARGET = 5_000.0
+private const val CORE_TARGET_PERCENT = 1.6
+private const val READS_TARGET = 2_000.0
+private val SIZES = listOf(10, 100, 330, 930)
+private val STEADY = 30.seconds
+
+/** Spread of the configuration in virtual time, over one-way latencies of 1 ms in a place and 8 ms between places. */
+internal val configBench =
+    Bench("config", "spread of a ticket and its cost, by fleet size, in virtual time") { options ->
+        SIZES.filter { !options.quick || it <= 330 }.flatMap { SpreadMeasurement(it, options).run() }
+    }
+
+private class SpreadMeasurement(private val size: Int, private val options: BenchOptions) {
+    private val fleet = SpreadSimulation(options.seed)
+
+    fun run(): List<Figure> = restart() + steady() + spread()
+
+    private fun restart(): List<Figure> {
+        repeat(size) { fleet.start(PlaceId("place${it % PLACES}")) }
+        fleet.relist()
+        fleet.store.accept()
+        val perSecond = List(10) {
+            val before = fleet.store.calls
+            fleet.run(1.seconds)
+            fleet.store.calls - before
+        }
+        check(fleet.living.all { it.isReady(fleet.now) }) { "not every process became ready" }
+        val worst = perSecond.max().toDouble()
+        return listOf(figure("restart of all: store calls in the worst second", "1/s", worst, target = READS_TARGET))
+    }
+
+    private fun steady(): List<Figure> {
+        val calls = fleet.store.calls
+        val bytes = bytes()
+        val begun = TimeSource.Monotonic.markNow()
+        fleet.run(STEADY)
+        val cpu = begun.elapsedNow() / STEADY / size * 100
+        val seconds = STEADY.inWholeSeconds.toDouble()
+        val callRate = (fleet.store.calls - calls) / seconds
+        val watches = size / SpreadSettings().watchWait.inWholeMilliseconds.milliseconds.inWholeSeconds.toDouble()
+        return listOf(
+            figure("store calls, every process watching as baseline (calculated)", "1/s", callRate, baseline = watches),
+            figure(
+                "messages sent and received by a process",
+                "B/s",
+                (bytes() - bytes) * 2 / seconds / size,
+                BYTES_TARGET,
+            ),
+            figure(
+                "processor time of the decisions of a process, sockets left out",
+                "% of a core",
+                cpu,
+                CORE_TARGET_PERCENT,
+            ),
+        )
+    }
+
+    private fun spread(): List<Figure> {
+        fleet.loss = 0.0
+        val healthy = accepted()
+        fleet.loss = 0.05
+        fleet.store.latency = 150.milliseconds
+        return listOf(
+            figure("acceptance to in force at the last", "s", healthy, target = 5.0),
+            figure("the same with 5% loss and a store of 300 ms", "s", accepted(), target = 5.0),
+        )
+    }
+
+    private fun accepted(): Double {
+        fleet.store.accept()
+        val time = fleet.timeUntilEverywhere(fleet.store.revision, IN_FORCE_BOUND * 4)
+        return time?.let { it.inWholeMilliseconds / 1e3 } ?: Double.POSITIVE_INFINITY
+    }
+
+    private fun bytes(): Double {
+        val counts = fleet.counts
+        return counts.fetches * sizeOf(ConfigFetch(REVISION)) + counts.states * sizeOf(ConfigState(REVISION)) +
+            counts.notices * sizeOf(RevisionNotice(REVISION))
+    }
+
+    private fun sizeOf(message: PeerMessage): Double =
+        (PeerCodec.encode(Envelope(message, REVISION, exchange = 1_000_000)).size + FRAME_HEADER_BYTES).toDouble()
+
+    private fun figure(name: String, unit: String, value: Double, target: Double? = null, baseline: Double? = null) =
+        Figure("config", "N=$size $name", unit, value, baseline, target, target?.let { value <= it }, options.seed)
+
+    private companion object {
+        val REVISION = ConfigRevision(1_000_000)
+    }
+}
--- a/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/run/AllBenches.kt
@@ -2,6 +2,7 @@
 
 import io.mimosatrail.bench.capacity.capacityBench
 import io.mimosatrail.bench.capacity.idleBench
+import io.mimosatrail.bench.config.configBench
 import io.mimosatrail.bench.journal.journalBench
 import io.mimosatrail.bench.limits.limitsBench
 import io.mimosatrail.bench.overload.overloadBench
@@ -16,6 +17,7 @@
     limitsBench,
     overloadBench,
     journalBench,
+    configBench,
     recoveryBench,
     capacityBench,
     idleBench,
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/ScenarioRun.kt
@@ -55,11 +55,12 @@
         return ledger.violations(world.records())
     }
 
-    /** Waits until the ticket is in force and each entry knows every upstream: a story starts in a settled state. */
+    /** Waits until the ticket is in force and each entry is ready and knows every upstream: a settled state. */
     private suspend fun awaitKnown() {
         val sidecars = world.fleet.running.size - scenario.entries.size
         val settled = eventually {
-            val informed = scenario.entries.all { world.member(it).daemon.status().upstreams.size == sidecars }
+            val entries = scenario.entries.map { world.member(it).daemon.status() }
+            val informed = entries.all { it.ready && it.upstreams.size == sidecars }
             informed && world.fleet.running.all { it.daemon.status().revision > 0 }
         }
         check(settled) { "the ticket and all upstreams are not known everywhere" }
