Bound the requests of a stage and the retries of lookups

Cause: a stage took any number of requests, and lookups retried up to three times without a budget, so a slow pool could be loaded without end. Change: a stage refuses requests beyond its bound as busy, not run; lookups follow RetryPolicy with its budget, jitter and deadline. The fair queue of core.admission is not wired yet.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/FrameCost.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/FrameCost.kt
@@ -24,6 +24,7 @@
     val times = if (quick) 2_000 else 20_000
     return listOf(
         Series("token message size", "bytes", "stage", stageCounts) { wireBytes(token(it)) },
+        Series("token message size with loads", "bytes", "stage", stageCounts) { wireBytes(tokenWithLoads(it)) },
         Series("token message coding", "us", "stage", stageCounts, WARM_UPS) { codingMicros(token(it), times) },
         Series("frame size without activations", "bytes", "stage", stageCounts) { wireBytes(frame(it, 0)) },
         Series("frame coding", "us", "KiB of activations", listOf(0, 4, 8, 16, 32), WARM_UPS) {
@@ -35,7 +36,10 @@
 /** Bytes of asking a sidecar and of its answer. */
 internal fun describeBytes(): Double = wireBytes(Describe) + wireBytes(Described(description(0, 1)))
 
-private fun token(stages: Int): PeerMessage {
+private fun token(stages: Int): PeerMessage =
+    message(SampledToken(request, Generation(0), 100, 65, List(stages, ::layers)))
+
+private fun tokenWithLoads(stages: Int): PeerMessage {
     val load = UpstreamLoad(waiting = 3, running = 20, meanStepMicros = 14_000)
     val loads = List(stages) { StageLoad(InstanceId("sidecar-ahmedabad-1-$it"), load) }
     return message(SampledToken(request, Generation(0), 100, 65, List(stages, ::layers), loads = loads))
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/StageTable.kt
@@ -101,16 +101,24 @@
         return adopt(known, frame, now)
     }
 
+    /** Why no new request may open, or null. */
+    private fun barredBy(): RefusalReason? = when {
+        draining -> RefusalReason.DRAINING
+        sequences.size >= settings.maxRequests -> RefusalReason.BUSY
+        else -> null
+    }
+
     /** Takes the first frame of a generation. */
     private fun adopt(known: StageSequence?, frame: Frame, now: Moment): List<StageEffect> {
         val route = frame.route ?: return emptyList()
         val stage = route.chain.stages.getOrNull(route.indexOf(self))
         heard[route.entry] = now
         val opens = frame.position == 0 || frame.restore != null
+        val barred = if (opens && known == null) barredBy() else null
         return when {
             stage == null || (checks.trail && stage.layers.first != frame.nextLayer) ->
                 violate(route, frame, "the frame's next layer is not this stage's first")
-            opens && draining && known == null -> refuse(route, frame, RefusalReason.DRAINING, "the stage is leaving")
+            barred != null -> refuse(route, frame, barred, "the stage takes no new requests")
             opens -> open(known, stage, frame, route, now)
             known == null -> refuse(route, frame, RefusalReason.STALE, "the stage holds no state of the request")
             known.stage.layers != stage.layers -> refuse(route, frame, RefusalReason.STALE, "the layers differ")
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/call/LookupForwarder.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/entry/call/LookupForwarder.kt
@@ -10,33 +10,49 @@
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
 import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.retry.FailedAttempt
+import io.mimosatrail.core.retry.RetryBudget
+import io.mimosatrail.core.retry.RetryDecision
+import io.mimosatrail.core.retry.RetryPolicy
 import io.mimosatrail.daemon.entry.directory.Directory
 import io.mimosatrail.daemon.host.Host
 import io.mimosatrail.protocol.CallAnswer
 import io.mimosatrail.protocol.CallRefused
 import io.mimosatrail.protocol.PeerError
 import io.mimosatrail.protocol.PeerMessage
+import kotlinx.coroutines.delay
+import kotlin.random.Random
+import kotlin.time.Duration
 
 private const val MAX_ATTEMPTS = 3
 private const val RETRY_AFTER_MILLIS = 1_000L
 
 /** Takes idempotent calls to any upstream of their service; asks another where one does not answer. */
 internal class LookupForwarder(private val host: Host, private val directory: Directory) {
+    private val retries = RetryPolicy(RetryBudget(), Random.Default, MAX_ATTEMPTS)
+
     suspend fun call(call: ServiceCall): Result<CallAnswer, Refusal> {
         val tried = mutableSetOf<InstanceId>()
         var mayHaveRun = false
         var last =
             refusal(RefusalReason.NO_UPSTREAM, Outcome.NOT_RUN, host.self.id, "no upstream of the service is known")
-        while (tried.size < MAX_ATTEMPTS && host.clock() < call.deadline) {
+        synchronized(retries) { retries.onFirstAttempt() }
+        while (true) {
             val upstream = choose(call, tried) ?: break
             tried += upstream.instance
             last = ask(call, upstream, MAX_ATTEMPTS - tried.size + 1).mapBoth({ return Ok(it) }, { it })
             mayHaveRun = mayHaveRun || last.outcome != Outcome.NOT_RUN
-            if (!last.mayRetryElsewhere()) break
+            delay(pauseBeforeRetry(FailedAttempt(tried.size, last, isIdempotent = true, call.deadline)) ?: break)
         }
         return Err(if (mayHaveRun) last.copy(outcome = Outcome.UNKNOWN) else last)
     }
 
+    /** Pause before the next attempt, or null where there is none. */
+    private fun pauseBeforeRetry(attempt: FailedAttempt): Duration? {
+        val decision = synchronized(retries) { retries.decide(attempt, host.clock()) }
+        return (decision as? RetryDecision.Retry)?.after
+    }
+
     /** The less loaded of two upstreams chosen at random. */
     private fun choose(call: ServiceCall, tried: Set<InstanceId>): UpstreamDescription? =
         directory.upstreamsOf(call.service.id)
@@ -77,8 +93,6 @@
         return Err(refusal(RefusalReason.PEER_LOST, outcome, from, "the sidecar did not answer: $error"))
     }
 
-    private fun Refusal.mayRetryElsewhere() = reason != RefusalReason.NOT_FOUND && reason != RefusalReason.MALFORMED
-
     private fun refusal(reason: RefusalReason, outcome: Outcome, peer: InstanceId, detail: String) =
         Refusal(outcome, reason, Step.ROUTE, peer, detail, RETRY_AFTER_MILLIS)
 }
