--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/DirectoryCost.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/DirectoryCost.kt
@@ -40,6 +40,6 @@
 
 private fun listMicros(runners: Int): Double {
     val table = table(runners, MODELS)
-    val rows = List(runners) { listRow(it, MODELS) }
-    return threadMicros(200) { table.onList(rows, Moment(0)) }
+    val lists = List(2) { List(runners) { listRow(it, MODELS) } }
+    return threadMicros(200) { table.onList(lists[it % 2], Moment(0)) }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamTable.kt
@@ -18,6 +18,7 @@
  */
 class UpstreamTable(private val floor: Double = 0.5) {
     private val rows = LinkedHashMap<InstanceId, UpstreamRow>()
+    private var lastList: List<InstanceEntry>? = null
 
     /** Changes whenever the set of upstreams that may take work changes, time aside. */
     var version: Long = 0
@@ -27,8 +28,10 @@
 
     operator fun get(instance: InstanceId): UpstreamRow? = rows[instance]
 
-    /** Takes over the instance list: new sidecars are added, absent ones removed. */
+    /** Takes over the instance list: new sidecars are added, absent ones removed; the same list again costs nothing. */
     fun onList(entries: List<InstanceEntry>, now: Moment) {
+        if (entries === lastList) return
+        lastList = entries
         val sidecars = entries.filter { it.role == InstanceRole.SIDECAR && it.service != null }.associateBy { it.id }
         if (rows.keys.retainAll(sidecars.keys)) version++
         for (entry in sidecars.values) update(entry, now)
@@ -129,6 +132,6 @@
 
     private companion object {
         val SHORTEST_DESCRIBE_PERIOD: Duration = 500.milliseconds
-        val DESCRIBE_SPACING: Duration = 100.milliseconds
+        val DESCRIBE_SPACING: Duration = 200.milliseconds
     }
 }
