--- a/protocol/src/main/kotlin/io/mimosatrail/protocol/StreamMessages.kt
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/StreamMessages.kt
@@ -4,9 +4,6 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** Why a stream ended whole. */
-typealias FinishReason = io.mimosatrail.core.pipeline.FinishReason
-
 /** Carries a message of a stream between an entry and a stage or between stages. */
 @Serializable
 @SerialName("stream")
