Remove a peer message that nothing sends

Cause: the last read of the change found Refused, replaced by the refusals of each feature and never sent or handled. Change: the message is gone.

--- a/protocol/src/main/kotlin/io/mimosatrail/protocol/DescribeMessages.kt
+++ b/protocol/src/main/kotlin/io/mimosatrail/protocol/DescribeMessages.kt
@@ -2,7 +2,6 @@
 
 import io.mimosatrail.core.id.ConfigRevision
 import io.mimosatrail.core.membership.UpstreamDescription
-import io.mimosatrail.core.outcome.Refusal
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -16,11 +15,6 @@
 @SerialName("described")
 data class Described(val upstream: UpstreamDescription) : PeerMessage
 
-/** Answer to any question that was refused. */
-@Serializable
-@SerialName("refused")
-data class Refused(val refusal: Refusal) : PeerMessage
-
 /** First message each way on a connection; proves the shared secret. */
 @Serializable
 @SerialName("hello")
