--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/CapacityBench.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/CapacityBench.kt
@@ -2,9 +2,9 @@
 
 import io.mimosatrail.bench.run.Bench
 import io.mimosatrail.bench.run.Figure
-import io.mimosatrail.daemon.logging.LogFormat
-import io.mimosatrail.daemon.logging.LogLevel
-import io.mimosatrail.daemon.logging.setUpLogging
+import io.mimosatrail.logging.LogFormat
+import io.mimosatrail.logging.LogLevel
+import io.mimosatrail.logging.setUpLogging
 
 /** Slopes from which docs/CAPACITY.md works out each role's cost at the size that the system is designed for. */
 internal val capacityBench =
--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/IdleCost.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/IdleCost.kt
@@ -3,9 +3,9 @@
 import io.mimosatrail.bench.fleet.Fleet
 import io.mimosatrail.bench.run.Bench
 import io.mimosatrail.bench.run.Figure
-import io.mimosatrail.daemon.logging.LogFormat
-import io.mimosatrail.daemon.logging.LogLevel
-import io.mimosatrail.daemon.logging.setUpLogging
+import io.mimosatrail.logging.LogFormat
+import io.mimosatrail.logging.LogLevel
+import io.mimosatrail.logging.setUpLogging
 import io.mimosatrail.daemon.settings.UpstreamKind
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
--- a/bench/src/main/kotlin/io/mimosatrail/bench/demo/DemoMain.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/demo/DemoMain.kt
@@ -1,8 +1,8 @@
 package io.mimosatrail.bench.demo
 
-import io.mimosatrail.daemon.logging.LogFormat
-import io.mimosatrail.daemon.logging.LogLevel
-import io.mimosatrail.daemon.logging.setUpLogging
+import io.mimosatrail.logging.LogFormat
+import io.mimosatrail.logging.LogLevel
+import io.mimosatrail.logging.setUpLogging
 import kotlinx.coroutines.runBlocking
 import kotlin.system.exitProcess
 
--- a/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallCluster.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallCluster.kt
@@ -22,7 +22,7 @@
 import io.mimosatrail.daemon.host.Host
 import io.mimosatrail.daemon.host.MessageRouter
 import io.mimosatrail.daemon.sidecar.call.CallOwner
-import io.mimosatrail.platform.store.HttpStore
+import io.mimosatrail.store.client.HttpStore
 import io.mimosatrail.protocol.PeerError
 import io.mimosatrail.protocol.PeerMessage
 import io.mimosatrail.protocol.Peers
--- a/bench/src/main/kotlin/io/mimosatrail/bench/scenario/TicketDesk.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/scenario/TicketDesk.kt
@@ -1,12 +1,12 @@
 package io.mimosatrail.bench.scenario
 
 import com.github.michaelbull.result.mapBoth
-import io.mimosatrail.platform.store.HttpStore
-import io.mimosatrail.platform.ticket.AcceptedTicket
-import io.mimosatrail.platform.ticket.SubmitError
-import io.mimosatrail.platform.ticket.TicketSubmitter
-import io.mimosatrail.platform.ticket.TicketYaml
-import io.mimosatrail.platform.ticket.submissionIdOf
+import io.mimosatrail.store.client.HttpStore
+import io.mimosatrail.store.ticket.AcceptedTicket
+import io.mimosatrail.store.ticket.SubmitError
+import io.mimosatrail.store.ticket.TicketSubmitter
+import io.mimosatrail.store.ticket.TicketYaml
+import io.mimosatrail.store.ticket.submissionIdOf
 
 /** Submits change tickets to the store at [storeUrl], as an operator does. */
 class TicketDesk(storeUrl: String) : AutoCloseable {
--- a/cli/src/main/kotlin/io/mimosatrail/cli/key/KeyHashCommand.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/key/KeyHashCommand.kt
@@ -4,7 +4,7 @@
 import com.github.ajalt.clikt.core.Context
 import io.mimosatrail.cli.run.ExitCode
 import io.mimosatrail.cli.run.fail
-import io.mimosatrail.platform.ticket.sha256Hex
+import io.mimosatrail.store.ticket.sha256Hex
 
 private const val MIN_KEY_LENGTH = 16
 
--- a/cli/src/main/kotlin/io/mimosatrail/cli/run/StoreOptions.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/run/StoreOptions.kt
@@ -5,7 +5,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import io.mimosatrail.core.store.StoreCall
-import io.mimosatrail.platform.store.HttpStore
+import io.mimosatrail.store.client.HttpStore
 import kotlinx.coroutines.runBlocking
 import java.net.URI
 
--- a/cli/src/main/kotlin/io/mimosatrail/cli/ticket/ReadConfiguration.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/ReadConfiguration.kt
@@ -6,8 +6,8 @@
 import io.mimosatrail.core.config.ConfigRecord
 import io.mimosatrail.core.config.Configuration
 import io.mimosatrail.core.store.StoreCall
-import io.mimosatrail.platform.ticket.LogError
-import io.mimosatrail.platform.ticket.TicketLog
+import io.mimosatrail.store.ticket.LogError
+import io.mimosatrail.store.ticket.TicketLog
 
 /** Reads the newest configuration, or ends the command. */
 internal suspend fun readConfiguration(store: StoreCall): Configuration {
--- a/cli/src/main/kotlin/io/mimosatrail/cli/ticket/Spread.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/Spread.kt
@@ -9,8 +9,8 @@
 import io.mimosatrail.core.id.PlaceId
 import io.mimosatrail.core.membership.InstanceEntry
 import io.mimosatrail.core.membership.InstanceState
-import io.mimosatrail.platform.instances.HttpInstanceList
-import io.mimosatrail.platform.instances.HttpRevisions
+import io.mimosatrail.store.instances.HttpInstanceList
+import io.mimosatrail.store.instances.HttpRevisions
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketFile.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketFile.kt
@@ -5,10 +5,10 @@
 import io.mimosatrail.cli.run.fail
 import io.mimosatrail.core.config.TicketProblem
 import io.mimosatrail.core.config.problems
-import io.mimosatrail.platform.ticket.MAX_TICKET_BYTES
-import io.mimosatrail.platform.ticket.TicketDocument
-import io.mimosatrail.platform.ticket.TicketYaml
-import io.mimosatrail.platform.ticket.locate
+import io.mimosatrail.store.ticket.MAX_TICKET_BYTES
+import io.mimosatrail.store.ticket.TicketDocument
+import io.mimosatrail.store.ticket.TicketYaml
+import io.mimosatrail.store.ticket.locate
 import java.nio.file.Files
 import java.nio.file.Path
 
--- a/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketShowCommand.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketShowCommand.kt
@@ -11,7 +11,7 @@
 import io.mimosatrail.cli.run.StoreOptions
 import io.mimosatrail.cli.run.fail
 import io.mimosatrail.core.config.ConfigRecord
-import io.mimosatrail.platform.ticket.TicketYaml
+import io.mimosatrail.store.ticket.TicketYaml
 
 /** Shows one accepted ticket. */
 internal class TicketShowCommand : CliktCommand(name = "show") {
--- a/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketSubmitCommand.kt
+++ b/cli/src/main/kotlin/io/mimosatrail/cli/ticket/TicketSubmitCommand.kt
@@ -19,11 +19,11 @@
 import io.mimosatrail.core.config.TicketRefusal
 import io.mimosatrail.core.id.ConfigRevision
 import io.mimosatrail.core.id.TicketNumber
-import io.mimosatrail.platform.ticket.AcceptedTicket
-import io.mimosatrail.platform.ticket.SubmitError
-import io.mimosatrail.platform.ticket.TicketDocument
-import io.mimosatrail.platform.ticket.TicketSubmitter
-import io.mimosatrail.platform.ticket.submissionIdOf
+import io.mimosatrail.store.ticket.AcceptedTicket
+import io.mimosatrail.store.ticket.SubmitError
+import io.mimosatrail.store.ticket.TicketDocument
+import io.mimosatrail.store.ticket.TicketSubmitter
+import io.mimosatrail.store.ticket.submissionIdOf
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.Serializable
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
@@ -0,0 +1,83 @@
+package io.mimosatrail.core.balance
+
+import io.mimosatrail.core.routing.UpstreamHealth
+import io.mimosatrail.core.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What this process has under way at one upstream, and how its last requests went. */
+class TrafficRow {
+    private var health = UpstreamHealth()
+    private var avoidedUntil: Moment? = null
+
+    /** Requests that were sent and not yet answered. */
+    var outstanding = 0
+        private set
+
+    /** Streams that pass through, as first stage or later. */
+    var sequences = 0
+        private set
+
+    /** KV cache that these streams will fill, in tokens times layers. */
+    var tokenLayers = 0L
+        private set
+
+    /** Share of the last answers that failed, recent ones counting more. */
+    var failureShare = 0.0
+        private set
+
+    /** Factor by which its passes take longer than usual. */
+    var slowness = 1.0
+
+    /** True while work should go elsewhere if it can. */
+    fun isAvoided(now: Moment): Boolean = isSilent(now) || avoidedUntil?.let { now < it } ?: false
+
+    /** True while it is taken to be down or cut off. */
+    fun isSilent(now: Moment): Boolean = health.isEjected(now)
+
+    internal fun onStart() {
+        outstanding++
+    }
+
+    internal fun onEnd() {
+        outstanding--
+    }
+
+    internal fun reserve(added: Long) {
+        sequences++
+        tokenLayers += added
+    }
+
+    internal fun release(removed: Long) {
+        sequences--
+        tokenLayers -= removed
+    }
+
+    internal fun onAnswer(hasFailed: Boolean, now: Moment) {
+        failureShare += ((if (hasFailed) 1.0 else 0.0) - failureShare) * FAILURE_GAIN
+        if (!hasFailed) health.onSuccess(now)
+    }
+
+    internal fun onSilence(now: Moment) {
+        health.onFailure(now)
+    }
+
+    internal fun onRefusal(now: Moment) {
+        avoidedUntil = now + REFUSAL_PAUSE
+    }
+
+    internal fun onRestart() {
+        health = UpstreamHealth()
+        avoidedUntil = null
+        failureShare = 0.0
+        slowness = 1.0
+    }
+
+    private companion object {
+        /** Weight of the newest answer in the failure share: about the last ten count. */
+        const val FAILURE_GAIN = 0.1
+
+        /** An engine that gives up layers or is short of memory is asked again after about one answer's time. */
+        val REFUSAL_PAUSE: Duration = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
@@ -0,0 +1,48 @@
+package io.mimosatrail.core.balance
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.path.PathPart
+import io.mimosatrail.core.registry.RegistryChange
+import io.mimosatrail.core.time.Moment
+
+/** Rows of all upstreams that this process sends to. Not thread-safe. */
+class UpstreamTraffic {
+    private val rows = HashMap<InstanceId, TrafficRow>()
+
+    /** The row of [id]. */
+    operator fun get(id: InstanceId): TrafficRow = rows.getOrPut(id) { TrafficRow() }
+
+    /** Notes that a request is handed to [id]. */
+    fun onStart(id: InstanceId) = get(id).onStart()
+
+    /** Notes that a request handed to [id] is over. */
+    fun onEnd(id: InstanceId) = get(id).onEnd()
+
+    /** Notes a whole answer of [id]. */
+    fun onAnswer(id: InstanceId, hasFailed: Boolean, now: Moment) = get(id).onAnswer(hasFailed, now)
+
+    /** Notes that [id] took no connection or gave no sign for too long. */
+    fun onSilence(id: InstanceId, now: Moment) = get(id).onSilence(now)
+
+    /** Notes that [id] would not take a request or its part of one. */
+    fun onRefusal(id: InstanceId, now: Moment) = get(id).onRefusal(now)
+
+    /** Counts a stream of [tokens] tokens at every engine of its path. */
+    fun reserve(path: List<PathPart>, tokens: Int) =
+        path.forEach { get(it.engine.id).reserve(tokens.toLong() * it.layers.size) }
+
+    /** Takes back what [reserve] counted. */
+    fun release(path: List<PathPart>, tokens: Int) =
+        path.forEach { get(it.engine.id).release(tokens.toLong() * it.layers.size) }
+
+    /** Forgets what was learnt of an upstream's earlier life. */
+    fun onRegistry(changes: List<RegistryChange>) {
+        for (change in changes) {
+            val hasRestarted = change.before?.startedMillis != change.after?.startedMillis
+            if (change.before != null && change.after != null && hasRestarted) get(change.id).onRestart()
+            if (change.after == null && rows[change.id]?.let { it.outstanding == 0 && it.sequences == 0 } == true) {
+                rows -= change.id
+            }
+        }
+    }
+}
--- a/platform/src/main/kotlin/io/mimosatrail/platform/http/HttpAnswer.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/net/HttpAnswer.kt
@@ -1,8 +1,8 @@
-package io.mimosatrail.platform.http
+package io.mimosatrail.core.net
 
 /** How an HTTP call ended. */
-internal sealed interface HttpAnswer {
-    /** The server answered. */
+sealed interface HttpAnswer {
+    /** The server answered with [status]; [tag] is the entity tag, null where there was none. */
     class Answered(val status: Int, val body: ByteArray, val tag: String? = null) : HttpAnswer
 
     /** No byte of the request was sent. */
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -0,0 +1,68 @@
+package io.mimosatrail.core.registry
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.ServiceId
+import io.mimosatrail.core.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Upstreams as the registry last listed them.
+ *
+ * Entries may lapse while the store is away although their upstreams live. An upstream that a listing lacks is kept
+ * until [returnGrace] after the store became reachable again. Not thread-safe.
+ */
+class UpstreamRegistry(private val returnGrace: Duration = RETURN_GRACE) {
+    private val records = LinkedHashMap<InstanceId, UpstreamRecord>()
+    private var byService = emptyMap<ServiceId, List<UpstreamRecord>>()
+    private var lastListing: Moment? = null
+    private var reachableSince: Moment? = null
+
+    /** All upstreams that are not known to be gone. */
+    val all: Collection<UpstreamRecord> get() = records.values
+
+    /** True once the registry has been read. */
+    val isKnown: Boolean get() = lastListing != null
+
+    /** Upstreams of [service], draining ones included. */
+    fun of(service: ServiceId): List<UpstreamRecord> = byService[service].orEmpty()
+
+    /** The upstream with [id], or null. */
+    operator fun get(id: InstanceId): UpstreamRecord? = records[id]
+
+    /** Time since the last listing, or null before the first. */
+    fun age(now: Moment): Duration? = lastListing?.let { now - it }
+
+    /** Takes a whole listing that was read at [now] and answers what it changed. */
+    fun onListing(listed: List<UpstreamRecord>, now: Moment): List<RegistryChange> {
+        if (reachableSince == null) reachableSince = now
+        lastListing = now
+        val seen = listed.associateBy { it.id }
+        val changes = mutableListOf<RegistryChange>()
+        for (record in listed) {
+            val previous = records.put(record.id, record)
+            if (previous != record) changes += RegistryChange(record.id, previous, record)
+        }
+        if (mayForget(now)) {
+            val gone = records.keys - seen.keys
+            gone.forEach { id -> records.remove(id)?.let { changes += RegistryChange(id, it, null) } }
+        }
+        if (changes.isNotEmpty()) byService = records.values.groupBy { it.service }
+        return changes
+    }
+
+    /** Notes that the registry could not be read. */
+    fun onUnreachable() {
+        reachableSince = null
+    }
+
+    private fun mayForget(now: Moment): Boolean = reachableSince?.let { now - it >= returnGrace } ?: false
+
+    private companion object {
+        /** Entries that lapsed in an outage are back about two seconds after its end. */
+        val RETURN_GRACE = 2_200.milliseconds
+    }
+}
+
+/** One upstream that a listing added ([before] is null), changed, or removed ([after] is null). */
+data class RegistryChange(val id: InstanceId, val before: UpstreamRecord?, val after: UpstreamRecord?)
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamHealth.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamHealth.kt
@@ -9,15 +9,17 @@
 private val MEMORY: Duration = 60.seconds
 
 /** Ejects an upstream after a failure, each time for twice as long until it works again. */
-internal class UpstreamHealth {
+class UpstreamHealth {
     private var failures = 0
 
     /** End of the ejection, or null where there is none. */
     var ejectedUntil: Moment? = null
         private set
 
+    /** True while no work should be sent. */
     fun isEjected(now: Moment): Boolean = ejectedUntil?.let { now < it } ?: false
 
+    /** Notes a failure; one during an ejection changes nothing. */
     fun onFailure(now: Moment) {
         if (isEjected(now)) return
         if (worksAgain(now)) failures = 0
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
@@ -23,9 +23,9 @@
 import io.mimosatrail.daemon.role.Role
 import io.mimosatrail.daemon.role.SidecarRole
 import io.mimosatrail.daemon.settings.DaemonSettings
-import io.mimosatrail.platform.instances.HttpInstanceList
-import io.mimosatrail.platform.store.HttpStore
-import io.mimosatrail.platform.store.budgetedStore
+import io.mimosatrail.store.instances.HttpInstanceList
+import io.mimosatrail.store.client.HttpStore
+import io.mimosatrail.store.client.budgetedStore
 import io.mimosatrail.protocol.PeerNode
 import io.mimosatrail.protocol.PeerSettings
 import kotlinx.coroutines.CoroutineScope
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigFollower.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigFollower.kt
@@ -17,7 +17,7 @@
 import io.mimosatrail.core.time.TimerService
 import io.mimosatrail.core.time.systemClock
 import io.mimosatrail.daemon.host.MessageRouter
-import io.mimosatrail.platform.ticket.LogError
+import io.mimosatrail.store.ticket.LogError
 import io.mimosatrail.protocol.ConfigFetch
 import io.mimosatrail.protocol.ConfigState
 import io.mimosatrail.protocol.Peers
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/config/LogWatch.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/config/LogWatch.kt
@@ -7,10 +7,10 @@
 import io.mimosatrail.core.store.StoreChange
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreReply
-import io.mimosatrail.platform.ticket.ConfigKeys
-import io.mimosatrail.platform.ticket.LogError
-import io.mimosatrail.platform.ticket.LogRead
-import io.mimosatrail.platform.ticket.TicketLog
+import io.mimosatrail.store.ticket.ConfigKeys
+import io.mimosatrail.store.ticket.LogError
+import io.mimosatrail.store.ticket.LogRead
+import io.mimosatrail.store.ticket.TicketLog
 import kotlin.time.Duration
 
 /** Reads and watches the log in the store, and remembers up to which write it was seen. */
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/main/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/main/DaemonCommand.kt
@@ -11,8 +11,8 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.enum
 import com.github.michaelbull.result.getOrElse
-import io.mimosatrail.daemon.logging.LogFormat
-import io.mimosatrail.daemon.logging.LogLevel
+import io.mimosatrail.logging.LogFormat
+import io.mimosatrail.logging.LogLevel
 import io.mimosatrail.daemon.settings.DaemonSettings
 import io.mimosatrail.daemon.settings.RawSettings
 import io.mimosatrail.daemon.settings.check
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
@@ -5,9 +5,10 @@
 import com.github.ajalt.clikt.core.parse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.mimosatrail.daemon.Daemon
-import io.mimosatrail.daemon.logging.LogFormat
-import io.mimosatrail.daemon.logging.LogLevel
-import io.mimosatrail.daemon.logging.setUpLogging
+import io.mimosatrail.logging.LogFormat
+import io.mimosatrail.logging.LogLevel
+import io.mimosatrail.logging.flushLogging
+import io.mimosatrail.logging.setUpLogging
 import io.mimosatrail.daemon.settings.DaemonSettings
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
@@ -49,6 +50,7 @@
     }
     stopping.await()
     runBlocking { daemon.stop() }
+    flushLogging()
     exitProcess(EXIT_OK)
 }
 
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/membership/InstanceWatcher.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/membership/InstanceWatcher.kt
@@ -6,8 +6,8 @@
 import io.mimosatrail.core.membership.InstanceEntry
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.core.time.TimerService
-import io.mimosatrail.platform.instances.HttpInstanceList
-import io.mimosatrail.platform.instances.InstanceSource
+import io.mimosatrail.store.instances.HttpInstanceList
+import io.mimosatrail.store.instances.InstanceSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import java.util.concurrent.atomic.AtomicBoolean
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/config/ConfigFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/config/ConfigFollowerTest.kt
@@ -33,9 +33,9 @@
 import io.mimosatrail.core.time.TimerService
 import io.mimosatrail.core.time.systemClock
 import io.mimosatrail.daemon.host.MessageRouter
-import io.mimosatrail.platform.ticket.ConfigKeys
-import io.mimosatrail.platform.ticket.RecordCodec
-import io.mimosatrail.platform.ticket.SnapshotCodec
+import io.mimosatrail.store.ticket.ConfigKeys
+import io.mimosatrail.store.ticket.RecordCodec
+import io.mimosatrail.store.ticket.SnapshotCodec
 import io.mimosatrail.protocol.ConfigFetch
 import io.mimosatrail.protocol.ConfigState
 import io.mimosatrail.protocol.PeerError
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -0,0 +1,124 @@
+package io.mimosatrail.gateway.follow
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.LeaseId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.store.StoreCall
+import io.mimosatrail.core.store.StoreCommand
+import io.mimosatrail.core.store.StoreKey
+import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.time.Clock
+import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.log.logEvent
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val ENTRIES = StoreKey("mimosatrail/entries")
+private val DUTY = StoreKey("mimosatrail/duties/placement")
+private val ROOT = StoreKey("mimosatrail/")
+
+/**
+ * Registers this entry under a lease, counts the others, and holds the placement duty while this entry has it. The
+ * duty's key hangs on the same lease, so that it ends with the entry.
+ */
+internal class EntryMembership(
+    private val store: StoreCall,
+    private val self: InstanceId,
+    private val place: PlaceId,
+    private val clock: Clock,
+) {
+    private val link = StoreLink("membership")
+    private var lease: LeaseId? = null
+    private var leaseEnds: Moment? = null
+    private var isRegistered = false
+    private var holdsDuty = false
+
+    /** Entries as last listed. */
+    var share = EntryShare.UNKNOWN
+        private set
+
+    /** True while this entry holds the placement duty by a lease that has certainly not ended. */
+    val isDutyHolder: Boolean get() = holdsDuty && leaseEnds?.let { clock() < it } ?: false
+
+    /** Keeps the registration until cancelled. */
+    suspend fun run() {
+        while (true) {
+            if (keepLease() && register()) list()
+            delay(PERIOD)
+        }
+    }
+
+    /** Asks the store whether the duty is still held; call it right before an order. */
+    suspend fun confirmDuty(): Boolean = holdsDuty && keepLease() && holdsDuty
+
+    private suspend fun keepLease(): Boolean {
+        val asked = clock()
+        val held = lease
+        val reply = store(if (held == null) StoreCommand.Grant(TTL) else StoreCommand.Renew(held))
+        when (reply) {
+            is StoreReply.Lease -> {
+                link.onAnswer()
+                lease = reply.id
+                leaseEnds = asked + reply.ttl - CLOCK_MARGIN
+            }
+            is StoreReply.Conflict -> dropLease("the lease has ended")
+            else -> link.onFailure(reply)
+        }
+        return reply is StoreReply.Lease
+    }
+
+    private suspend fun register(): Boolean {
+        if (isRegistered) return true
+        val put = StoreCommand.Put(ENTRIES / self.value, place.value.encodeToByteArray(), null, lease)
+        when (val reply = store(put)) {
+            is StoreReply.Written -> isRegistered = true
+            is StoreReply.Conflict -> dropLease("the lease has ended")
+            else -> link.onFailure(reply)
+        }
+        return isRegistered
+    }
+
+    private suspend fun list() {
+        val listing = store.listAll(ROOT)
+        if (listing !is Listing.Whole) return
+        val places = listing.values.filter { it.key.value.startsWith("$ENTRIES/") }
+            .map { PlaceId(it.value.decodeToString()) }
+        val counted = EntryShare.of(places)
+        if (counted != share) logEvent("membership", "entries-counted", "entries" to counted.entries)
+        share = counted
+        val holder = listing.values.firstOrNull { it.key == DUTY }?.value?.decodeToString()
+        if (holder == null) claimDuty() else noteHolder(holder == self.value)
+    }
+
+    private suspend fun claimDuty() {
+        val put = StoreCommand.Put(DUTY, self.value.encodeToByteArray(), StoreRevision(0), lease)
+        noteHolder(store(put) is StoreReply.Written)
+    }
+
+    private fun noteHolder(isSelf: Boolean) {
+        if (isSelf != holdsDuty) logEvent("membership", if (isSelf) "duty-taken" else "duty-lost", "duty" to DUTY)
+        holdsDuty = isSelf
+    }
+
+    private fun dropLease(reason: String) {
+        logEvent("membership", "lease-lost", "lease" to lease, "reason" to reason)
+        lease = null
+        leaseEnds = null
+        isRegistered = false
+        noteHolder(false)
+    }
+
+    private companion object {
+        /** Another entry takes over this long after the holder's last sign. */
+        val TTL: Duration = 3.seconds
+
+        /** Three renewals fit into the time to live. */
+        val PERIOD: Duration = 1.seconds
+
+        /** Two steady clocks may differ by this much over the time to live. */
+        val CLOCK_MARGIN: Duration = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/StoreListing.kt
@@ -0,0 +1,29 @@
+package io.mimosatrail.gateway.follow
+
+import io.mimosatrail.core.store.StoreCall
+import io.mimosatrail.core.store.StoreCommand
+import io.mimosatrail.core.store.StoreKey
+import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoredValue
+
+/** Outcome of listing a prefix. */
+internal sealed interface Listing {
+    /** All values under the prefix. */
+    data class Whole(val values: List<StoredValue>) : Listing
+
+    /** A page could not be read. */
+    data class Failed(val reply: StoreReply) : Listing
+}
+
+/** Lists all values under [prefix], page by page. */
+internal suspend fun StoreCall.listAll(prefix: StoreKey): Listing {
+    val values = mutableListOf<StoredValue>()
+    var after: StoreKey? = null
+    while (true) {
+        val reply = this(StoreCommand.List(prefix, after))
+        if (reply !is StoreReply.Values) return Listing.Failed(reply)
+        values += reply.values
+        if (!reply.more || reply.values.isEmpty()) return Listing.Whole(values)
+        after = reply.values.last().key
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -0,0 +1,266 @@
+package io.mimosatrail.gateway.forward
+
+import io.mimosatrail.core.front.RouteKind
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.outcome.RefusalReason
+import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.send.SendEnd
+import io.mimosatrail.core.send.SendHistory
+import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.log.logEvent
+import io.mimosatrail.gateway.net.ConnectionKey
+import io.mimosatrail.gateway.net.Lease
+import io.netty.buffer.ByteBuf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Carries one request to upstreams and their answer back, until it has its final answer. Confined to the event loop. */
+internal class Forward(
+    private val call: RoutedCall,
+    private val targets: TargetChooser,
+    private val context: ForwardContext,
+) {
+    private val history = SendHistory(call.route)
+    private val answer = CallerAnswer(call, context)
+    private var attempt: Attempt? = null
+    private var failedConnects = 0
+    private var isOver = false
+    private var isNextSendPaid = false
+    private val unreachable = HashSet<InstanceId>()
+
+    /** Sends the request for the first time. */
+    fun start() {
+        context.inFlight += this
+        call.caller.onGone = ::onGone
+        call.caller.onWritable = { attempt?.setReading(true) }
+        context.retries.onFirstAttempt(call.service.id)
+        sendNext()
+    }
+
+    /** Looks at the deadlines. */
+    fun onTick(now: Moment) {
+        if (isOver) return
+        if (now >= call.giveUpAt) return giveUp()
+        attempt?.let { if (it.isSilent(now)) it.investigate(now) }
+    }
+
+    private fun sendNext() {
+        val target = targets.choose(history.tried + unreachable)
+        if (target == null) return finish(noTarget())
+        val next = Attempt(target)
+        attempt = next
+        next.begin()
+    }
+
+    private fun onNotConnected(ended: Attempt, detail: String) {
+        ended.release()
+        attempt = null
+        val upstream = ended.target.upstream.id
+        context.traffic.onSilence(upstream, context.clock())
+        unreachable += upstream
+        failedConnects++
+        log("not-connected", ended, "detail" to detail)
+        if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(unavailable(Step.SEND, detail))
+    }
+
+    private fun onFailed(ended: Attempt, end: SendEnd, detail: String) {
+        ended.release()
+        attempt = null
+        history.onEnd(end)
+        context.meters.onSendEnd(end.name)
+        log("send-failed", ended, "end" to end, "detail" to detail)
+        if (maySendAgain()) return sendNext()
+        finish(failure(ended, end, detail))
+    }
+
+    private fun maySendAgain(): Boolean {
+        if (!history.maySendAgain() || context.clock() + LEAST_TIME_FOR_SEND >= call.giveUpAt) return false
+        if (answer.hasBegun && !call.route.isResumable) return false
+        if (isNextSendPaid) return true.also { isNextSendPaid = false }
+        return context.retries.take(call.service.id)
+    }
+
+    private fun giveUp() {
+        val pending = attempt
+        val hadSent = pending?.isSent == true
+        pending?.abort()
+        attempt = null
+        if (hadSent) history.onEnd(SendEnd.SILENT)
+        val detail = "no answer within ${call.patience}"
+        finish(
+            if (history.hasNotRun) {
+                unavailable(Step.SEND, detail)
+            } else {
+                refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, pending, detail)
+            },
+        )
+    }
+
+    private fun onGone() {
+        val pending = attempt
+        attempt = null
+        pending?.abort()
+        log("caller-gone", pending)
+        end()
+    }
+
+    private fun finish(refusal: Refusal) {
+        if (answer.hasBegun) answer.cut(refusal) else answer.refuse(refusal)
+        end()
+    }
+
+    private fun end() {
+        isOver = true
+        context.inFlight -= this
+    }
+
+    private fun noTarget() = refusal(
+        if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN,
+        RefusalReason.NO_UPSTREAM,
+        Step.ROUTE,
+        null,
+        "no upstream of ${call.service.id} has room",
+        RETRY_AFTER_NO_ROOM,
+    )
+
+    private fun unavailable(step: Step, detail: String) =
+        refusal(Outcome.NOT_RUN, RefusalReason.BUSY, step, null, detail, RETRY_AFTER_BUSY)
+
+    private fun failure(ended: Attempt, end: SendEnd, detail: String): Refusal = when {
+        history.hasNotRun -> unavailable(Step.SEND, "$end at ${ended.target.upstream.id}: $detail")
+        end == SendEnd.SILENT -> refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, ended, detail)
+        else -> refusal(Outcome.UNKNOWN, RefusalReason.UPSTREAM_ERROR, Step.ANSWER, ended, detail)
+    }
+
+    private fun refusal(
+        outcome: Outcome,
+        reason: RefusalReason,
+        step: Step,
+        at: Attempt?,
+        detail: String,
+        retryAfter: Duration? = null,
+    ) = Refusal(outcome, reason, step, at?.target?.upstream?.id, detail, retryAfter?.inWholeMilliseconds)
+
+    private fun log(event: String, at: Attempt?, vararg more: Pair<String, Any?>) = logEvent(
+        "forward",
+        event,
+        "request" to call.fields.request,
+        "target" to at?.target,
+        "sends" to history.sends,
+        "configuration" to call.configurationVersion,
+        "registry-age" to context.registry.age(context.clock()),
+        *more,
+    )
+
+    /** One send. */
+    private inner class Attempt(val target: Target) : AttemptOwner {
+        private val exchange = UpstreamExchange(call, target, context, answer, this)
+        private var isReleased = false
+        private var isInvestigated = false
+
+        val isSent: Boolean get() = exchange.isSent
+
+        fun begin() {
+            context.traffic.onStart(target.upstream.id)
+            context.traffic.reserve(target.path, target.tokens)
+            val key = ConnectionKey(target.upstream.address, target.upstream.id)
+            val most = (call.service.maxConnections / context.share().entries).coerceAtLeast(1)
+            context.pool.lease(key, most, ::onLease)
+        }
+
+        fun isSilent(now: Moment): Boolean = !isInvestigated && exchange.isSilent(now)
+
+        fun setReading(isReading: Boolean) = exchange.setReading(isReading)
+
+        fun abort() {
+            exchange.abort()
+            release()
+        }
+
+        fun release() {
+            if (isReleased) return
+            isReleased = true
+            context.traffic.onEnd(target.upstream.id)
+            context.traffic.release(target.path, target.tokens)
+        }
+
+        /** Finds out which engine the answer waits for, then sends elsewhere where that is allowed. */
+        fun investigate(now: Moment) {
+            isInvestigated = true
+            if (!call.route.isRepeatable) return
+            if (target.path.isEmpty()) {
+                context.traffic.onSilence(target.upstream.id, now)
+                return exchange.fail(SendEnd.SILENT, "no answer for ${exchange.silence(now)}")
+            }
+            StallSearch(context, target, call.fields.request).run { culprits ->
+                if (attempt !== this || !exchange.isSilent(context.clock())) return@run
+                if (culprits.isEmpty()) {
+                    isInvestigated = !exchange.isVerySilent(context.clock())
+                    if (isInvestigated) exchange.fail(SendEnd.SILENT, "no event for ${exchange.silence(context.clock())}")
+                } else {
+                    exchange.fail(SendEnd.SILENT, "the stream waits for ${culprits.joinToString(",")}")
+                }
+            }
+        }
+
+        override fun onFailed(end: SendEnd, detail: String) = onFailed(this, end, detail)
+
+        override fun mayReplaceFailure(): Boolean {
+            if (call.route.kind != RouteKind.IDEMPOTENT || !history.mayFailAndSendAgain()) return false
+            if (targets.choose(history.tried + unreachable) == null) return false
+            isNextSendPaid = context.retries.take(call.service.id)
+            return isNextSendPaid
+        }
+
+        override fun onComplete() {
+            release()
+            attempt = null
+            history.onAnswered()
+            context.meters.onSendEnd("ANSWERED")
+            log("answered", this, "status" to answer.status, "took" to (context.clock() - call.caller.receivedAt))
+            end()
+        }
+
+        private fun onLease(lease: Lease) {
+            val isWanted = attempt === this
+            when (lease) {
+                is Lease.Failed -> if (isWanted) onNotConnected(this, lease.detail)
+                is Lease.Ready -> if (isWanted) send(lease) else context.pool.giveBack(lease.connection)
+            }
+        }
+
+        private fun send(lease: Lease.Ready) {
+            history.onSend(target.upstream.id)
+            if (history.sends == 1) log("sent", this) else log("sent-again", this)
+            exchange.send(lease.connection)
+        }
+    }
+
+    private companion object {
+        /** Connections that may fail before a request is refused. */
+        const val MAX_FAILED_CONNECTS = 3
+
+        /** A send that would have less time than this is not made. */
+        val LEAST_TIME_FOR_SEND = 50.milliseconds
+
+        /** Room comes back as streams end, a few a second at each engine. */
+        val RETRY_AFTER_NO_ROOM = 700.milliseconds
+
+        /** A refusing upstream is asked again after about one answer's time. */
+        val RETRY_AFTER_BUSY = 400.milliseconds
+    }
+}
+
+/** Hears how a send goes on. */
+internal interface AttemptOwner {
+    /** The send ended without an answer that could be passed on. */
+    fun onFailed(end: SendEnd, detail: String)
+
+    /** True where a failure that the upstream answered may be replaced by another send. */
+    fun mayReplaceFailure(): Boolean
+
+    /** The answer has been passed on whole. */
+    fun onComplete()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
@@ -0,0 +1,20 @@
+package io.mimosatrail.gateway.forward
+
+import io.mimosatrail.core.time.Moment
+
+/** Requests that are being forwarded. [tick] lets each look at its deadlines. */
+internal class InFlightTable {
+    private val forwards = LinkedHashSet<Forward>()
+
+    val size: Int get() = forwards.size
+
+    operator fun plusAssign(forward: Forward) {
+        forwards += forward
+    }
+
+    operator fun minusAssign(forward: Forward) {
+        forwards -= forward
+    }
+
+    fun tick(now: Moment) = forwards.toList().forEach { it.onTick(now) }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Refusals.kt
@@ -0,0 +1,37 @@
+package io.mimosatrail.gateway.forward
+
+import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.outcome.RefusalReason
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+
+private const val MILLIS_A_SECOND = 1_000.0
+
+/** Status that tells the caller what the refusal says; 503 only where the request certainly has not run. */
+internal fun statusOf(refusal: Refusal): HttpResponseStatus = when {
+    refusal.reason == RefusalReason.MALFORMED -> HttpResponseStatus.BAD_REQUEST
+    refusal.reason == RefusalReason.UNAUTHENTICATED -> HttpResponseStatus.UNAUTHORIZED
+    refusal.reason == RefusalReason.NOT_FOUND -> HttpResponseStatus.NOT_FOUND
+    refusal.outcome == Outcome.NOT_RUN -> HttpResponseStatus.SERVICE_UNAVAILABLE
+    refusal.reason == RefusalReason.DEADLINE -> HttpResponseStatus.GATEWAY_TIMEOUT
+    else -> HttpResponseStatus.BAD_GATEWAY
+}
+
+/** Headers of a refusal, with the seconds after which a retry may help. */
+internal fun headersOf(refusal: Refusal): HttpHeaders {
+    val headers = DefaultHttpHeaders(false)
+    headers[HttpHeaderNames.CONTENT_TYPE] = "text/plain; charset=utf-8"
+    refusal.retryAfterMillis?.let { headers[HttpHeaderNames.RETRY_AFTER] = (it / MILLIS_A_SECOND).toString() }
+    return headers
+}
+
+/** What happened, for a person who reads the answer. */
+internal fun bodyOf(refusal: Refusal): ByteBuf {
+    val peer = refusal.peer?.let { " at $it" }.orEmpty()
+    return Unpooled.wrappedBuffer("${refusal.step.name.lowercase()}$peer: ${refusal.detail}\n".toByteArray())
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
@@ -0,0 +1,20 @@
+package io.mimosatrail.gateway.forward
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.path.PathPart
+import io.mimosatrail.core.registry.UpstreamRecord
+
+/** Where one send goes: [upstream] takes the request, which then passes the engines of [path], empty for plain calls. */
+internal class Target(val upstream: UpstreamRecord, val path: List<PathPart>, val tokens: Int) {
+    /** All upstreams that the request depends on. */
+    val members: List<InstanceId> get() = if (path.isEmpty()) listOf(upstream.id) else path.map { it.engine.id }
+
+    override fun toString(): String =
+        if (path.isEmpty()) upstream.id.value else path.joinToString(",") { "${it.engine.id}[${it.layers}]" }
+}
+
+/** Chooses targets for one request. */
+internal interface TargetChooser {
+    /** A target without the upstreams in [tried], or null where there is none. */
+    fun choose(tried: Set<InstanceId>): Target?
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -0,0 +1,174 @@
+package io.mimosatrail.gateway.front
+
+import io.mimosatrail.core.time.Clock
+import io.mimosatrail.core.time.Moment
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlin.time.Duration
+
+/**
+ * One connection of a caller. Answers its requests one after the other; requests that come early wait.
+ *
+ * The connection is read all the time, so that a caller that leaves is noticed while its request is served.
+ */
+internal class FrontConnection(
+    private val clock: Clock,
+    private val isStopping: () -> Boolean,
+    private val serve: (Caller) -> Unit,
+) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private lateinit var context: ChannelHandlerContext
+    private val waiting = ArrayDeque<Pair<FullHttpRequest, Moment>>()
+    private var current: Exchange? = null
+    private var quietSince: Moment = clock()
+
+    /** True while a request is being served. */
+    val isBusy: Boolean get() = current != null
+
+    /** Closes the connection if nothing has come on it for [limit]. */
+    fun closeIfIdle(limit: Duration) {
+        if (!isBusy && clock() - quietSince > limit) context.close()
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+        quietSince = clock()
+        if (waiting.size >= MAX_WAITING) {
+            context.close()
+            return
+        }
+        waiting.addLast(request.retain() to quietSince)
+        serveNext()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        waiting.forEach { (request, _) -> request.release() }
+        waiting.clear()
+        current?.onClosed()
+        super.channelInactive(context)
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) current?.caller?.onWritable?.invoke()
+    }
+
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    private fun serveNext() {
+        if (current != null) return
+        val (request, receivedAt) = waiting.removeFirstOrNull() ?: return
+        val exchange = Exchange(request, receivedAt)
+        current = exchange
+        val failure = request.decoderResult().cause()
+        if (failure == null) serve(exchange.caller) else exchange.refuseUnreadable(failure)
+    }
+
+    private inner class Exchange(private val request: FullHttpRequest, receivedAt: Moment) : CallerOutput {
+        val caller = Caller(request, receivedAt, this)
+        private val isKeepAlive = HttpUtil.isKeepAlive(request)
+        private var closesAfter = false
+        private var isOver = false
+
+        override val isWritable: Boolean get() = context.channel().isWritable
+
+        override fun answer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
+            if (isOver) {
+                body.release()
+                return
+            }
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                status,
+                body,
+                headers,
+                EmptyHttpHeaders.INSTANCE,
+            )
+            HttpUtil.setContentLength(response, body.readableBytes().toLong())
+            prepare(response)
+            end(response)
+        }
+
+        override fun begin(status: HttpResponseStatus, headers: HttpHeaders) {
+            if (isOver) return
+            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers)
+            HttpUtil.setTransferEncodingChunked(response, true)
+            prepare(response)
+            context.write(response)
+        }
+
+        override fun write(part: ByteBuf) {
+            if (isOver) part.release() else context.writeAndFlush(DefaultHttpContent(part))
+        }
+
+        override fun finish() {
+            if (!isOver) end(LastHttpContent.EMPTY_LAST_CONTENT)
+        }
+
+        override fun cut() {
+            if (isOver) return
+            release()
+            context.close()
+        }
+
+        fun onClosed() {
+            if (isOver) return
+            release()
+            caller.onGone()
+        }
+
+        fun refuseUnreadable(failure: Throwable) {
+            closesAfter = true
+            val status = when {
+                failure !is TooLongFrameException -> HttpResponseStatus.BAD_REQUEST
+                failure.message.orEmpty().contains("header", ignoreCase = true) ->
+                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                else -> HttpResponseStatus.REQUEST_URI_TOO_LONG
+            }
+            answer(status, io.netty.handler.codec.http.DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER)
+        }
+
+        private fun prepare(response: HttpResponse) {
+            closesAfter = closesAfter || !isKeepAlive || isStopping()
+            if (closesAfter) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+        }
+
+        private fun end(last: Any) {
+            release()
+            val write = context.writeAndFlush(last)
+            quietSince = clock()
+            if (closesAfter) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
+        }
+
+        private fun release() {
+            isOver = true
+            current = null
+            request.release()
+        }
+    }
+
+    private companion object {
+        /** Requests that may wait on one connection behind the one that is served. */
+        const val MAX_WAITING = 16
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
@@ -0,0 +1,71 @@
+package io.mimosatrail.gateway.front
+
+import io.mimosatrail.core.front.FrontLimits
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.time.Clock
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpServerCodec
+
+/** Listens for HTTP requests and passes each to [serve] once it has been read whole. Confined to one event loop. */
+internal class FrontServer(
+    private val group: EventLoopGroup,
+    private val clock: Clock,
+    private val limits: () -> FrontLimits,
+    private val serve: (Caller) -> Unit,
+) {
+    private val connections = HashSet<FrontConnection>()
+    private var listening: Channel? = null
+
+    /** True once the server stops: it answers what comes, and asks callers to connect elsewhere. */
+    var isStopping = false
+
+    /** Number of requests that are being served. */
+    val busy: Int get() = connections.count { it.isBusy }
+
+    /** Binds [address] and returns when the server listens. Fails with the cause if the address cannot be had. */
+    fun listen(address: PeerAddress) {
+        listening = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) = prepare(channel)
+            })
+            .bind(address.host, address.port).sync().channel()
+    }
+
+    /** Closes connections on which nothing has come for the idle limit. */
+    fun closeIdle() {
+        val limit = limits().idleTimeout
+        connections.toList().forEach { it.closeIfIdle(limit) }
+    }
+
+    /** Accepts no more connections. */
+    fun stopListening() {
+        listening?.close()
+    }
+
+    private fun prepare(channel: Channel) {
+        val bounds = limits()
+        val connection = FrontConnection(clock, { isStopping }, serve)
+        connections += connection
+        channel.closeFuture().addListener { connections -= connection }
+        val decoder = HttpDecoderConfig().setMaxHeaderSize(bounds.maxHeaderBytes)
+            .setMaxInitialLineLength(bounds.maxHeaderBytes)
+        channel.pipeline().addLast(HttpServerCodec(decoder), HttpObjectAggregator(bounds.maxBodyBytes), connection)
+    }
+
+    private companion object {
+        /** Connections that wait to be accepted; a burst after a failure of other entries comes at once. */
+        const val BACKLOG = 1024
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlCalls.kt
@@ -0,0 +1,103 @@
+package io.mimosatrail.gateway.net
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.net.HttpAnswer
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.send.SendEnd
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+
+/** A call to the store or to the control interface of an upstream. [upstream] is null for the store. */
+class ControlCall(
+    val address: PeerAddress,
+    val method: String,
+    val path: String,
+    val body: ByteArray? = null,
+    val upstream: InstanceId? = null,
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/** Sends control calls over kept connections. Runs on [loop]. */
+class ControlCalls internal constructor(private val pool: ConnectionPool, private val loop: EventLoop) {
+    /** Sends [call] and waits up to [timeout] for the whole answer. */
+    suspend fun send(call: ControlCall, timeout: Duration): HttpAnswer {
+        check(loop.inEventLoop()) { "control calls run on the event loop" }
+        val exchange = Exchange(call)
+        return withTimeoutOrNull(timeout) { exchange.run() } ?: exchange.onTimeout(timeout)
+    }
+
+    private inner class Exchange(private val call: ControlCall) : AnswerListener {
+        private var connection: UpstreamConnection? = null
+        private var waiting: CancellableContinuation<HttpAnswer>? = null
+        private var status = 0
+        private val body = ByteArrayOutputStream()
+
+        suspend fun run(): HttpAnswer = suspendCancellableCoroutine { continuation ->
+            waiting = continuation
+            pool.lease(ConnectionKey(call.address, call.upstream), MOST_CONNECTIONS) { lease ->
+                when (lease) {
+                    is Lease.Failed -> end(HttpAnswer.NotSent(lease.detail))
+                    is Lease.Ready -> if (continuation.isActive) sendOn(lease.connection) else lease.connection.abort()
+                }
+            }
+        }
+
+        fun onTimeout(timeout: Duration): HttpAnswer {
+            val open = connection ?: return HttpAnswer.NotSent("no connection within $timeout")
+            open.abort()
+            return HttpAnswer.Lost("no answer within $timeout")
+        }
+
+        override fun onHead(head: HttpResponse) {
+            status = head.status().code()
+        }
+
+        override fun onBody(part: ByteBuf) {
+            part.readBytes(body, part.readableBytes())
+        }
+
+        override fun onEnd() = end(HttpAnswer.Answered(status, body.toByteArray()))
+
+        override fun onFailed(end: SendEnd, detail: String) =
+            end(if (end == SendEnd.NOT_SENT) HttpAnswer.NotSent(detail) else HttpAnswer.Lost(detail))
+
+        private fun sendOn(ready: UpstreamConnection) {
+            connection = ready
+            ready.send(call.toRequest(), this)
+        }
+
+        private fun end(answer: HttpAnswer) {
+            waiting?.takeIf { it.isActive }?.resume(answer)
+            waiting = null
+        }
+    }
+
+    private companion object {
+        /** Control calls of one entry to one peer that run at the same time. */
+        const val MOST_CONNECTIONS = 8
+    }
+}
+
+private fun ControlCall.toRequest(): DefaultFullHttpRequest {
+    val content = body?.let { Unpooled.wrappedBuffer(it) } ?: Unpooled.EMPTY_BUFFER
+    val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, content)
+    request.headers()[HttpHeaderNames.HOST] = address.toString()
+    headers.forEach { (name, value) -> request.headers()[name] = value }
+    if (body != null) {
+        request.headers()[HttpHeaderNames.CONTENT_TYPE] = "application/json"
+        request.headers()[HttpHeaderNames.CONTENT_LENGTH] = body.size
+    }
+    return request
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
@@ -0,0 +1,45 @@
+package io.mimosatrail.gateway.wire
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.pipeline.LayerRange
+import io.mimosatrail.core.registry.UpstreamRecord
+
+/** Control interface of the model engines. All calls suspend until an answer or a time limit. */
+interface EngineControl {
+    /** What the engine says of itself, or null where it does not answer. */
+    suspend fun report(engine: UpstreamRecord): EngineReport?
+
+    /**
+     * Orders the engine to hold [layers], if [orders] is still the number of orders it has accepted. An order without
+     * an answer may take effect later.
+     */
+    suspend fun place(engine: UpstreamRecord, layers: LayerRange, orders: Long): OrderOutcome
+}
+
+/**
+ * State of an engine. [orders] counts the orders it has accepted since its start. [slowness] above 1 means that its
+ * passes take that many times as long as usual. [stalled] are engines that its streams wait for.
+ */
+data class EngineReport(
+    val layers: LayerRange?,
+    val isBusy: Boolean,
+    val orders: Long,
+    val slowness: Double,
+    val stalled: List<StalledEngine>,
+)
+
+/** An engine that streams wait for in vain. */
+data class StalledEngine(val id: InstanceId?, val address: PeerAddress?)
+
+/** How an order ended. */
+sealed interface OrderOutcome {
+    /** The engine carries the order out, or holds that state already. */
+    data object Accepted : OrderOutcome
+
+    /** The engine did not take the order. */
+    data class Refused(val status: Int) : OrderOutcome
+
+    /** No answer came; the order may take effect later. */
+    data class Unknown(val detail: String) : OrderOutcome
+}
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/logging/LogFormat.kt
+++ b/logging/src/main/kotlin/io/mimosatrail/logging/LogFormat.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.daemon.logging
+package io.mimosatrail.logging
 
 /** Shape of log lines. */
 enum class LogFormat { TEXT, JSON }
--- a/platform/src/main/kotlin/io/mimosatrail/platform/store/BudgetedStore.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/client/BudgetedStore.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.store
+package io.mimosatrail.store.client
 
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
--- a/platform/src/main/kotlin/io/mimosatrail/platform/store/HttpStore.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/client/HttpStore.kt
@@ -1,11 +1,11 @@
-package io.mimosatrail.platform.store
+package io.mimosatrail.store.client
 
 import io.mimosatrail.core.id.LeaseId
 import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreReply
-import io.mimosatrail.platform.http.HttpAnswer
-import io.mimosatrail.platform.http.HttpCaller
+import io.mimosatrail.core.net.HttpAnswer
+import io.mimosatrail.store.http.HttpCaller
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/platform/src/main/kotlin/io/mimosatrail/platform/store/StoreBudget.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/client/StoreBudget.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.store
+package io.mimosatrail.store.client
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/platform/src/main/kotlin/io/mimosatrail/platform/http/HttpCaller.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/http/HttpCaller.kt
@@ -1,5 +1,6 @@
-package io.mimosatrail.platform.http
+package io.mimosatrail.store.http
 
+import io.mimosatrail.core.net.HttpAnswer
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.eclipse.jetty.client.BufferingResponseListener
--- a/platform/src/main/kotlin/io/mimosatrail/platform/instances/HttpInstanceList.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/instances/HttpInstanceList.kt
@@ -1,12 +1,12 @@
-package io.mimosatrail.platform.instances
+package io.mimosatrail.store.instances
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onSuccess
 import io.mimosatrail.core.membership.InstanceEntry
-import io.mimosatrail.platform.http.HttpAnswer
-import io.mimosatrail.platform.http.HttpCaller
+import io.mimosatrail.core.net.HttpAnswer
+import io.mimosatrail.store.http.HttpCaller
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import kotlin.time.Duration
--- a/platform/src/main/kotlin/io/mimosatrail/platform/ticket/LogError.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/ticket/LogError.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.ticket
+package io.mimosatrail.store.ticket
 
 import io.mimosatrail.core.id.ConfigRevision
 
--- a/platform/src/main/kotlin/io/mimosatrail/platform/ticket/SnapshotStore.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/ticket/SnapshotStore.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.ticket
+package io.mimosatrail.store.ticket
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/platform/src/main/kotlin/io/mimosatrail/platform/ticket/TicketYaml.kt
+++ b/store/src/main/kotlin/io/mimosatrail/store/ticket/TicketYaml.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.ticket
+package io.mimosatrail.store.ticket
 
 import com.charleskorn.kaml.AnchorsAndAliases
 import com.charleskorn.kaml.Yaml
--- a/platform/src/test/kotlin/io/mimosatrail/platform/store/FakeStore.kt
+++ b/store/src/test/kotlin/io/mimosatrail/store/client/FakeStore.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.store
+package io.mimosatrail.store.client
 
 import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.store.StoreCommand
--- a/platform/src/test/kotlin/io/mimosatrail/platform/store/HttpStoreTest.kt
+++ b/store/src/test/kotlin/io/mimosatrail/store/client/HttpStoreTest.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.store
+package io.mimosatrail.store.client
 
 import com.sun.net.httpserver.HttpServer
 import io.kotest.core.spec.style.FunSpec
--- a/platform/src/test/kotlin/io/mimosatrail/platform/store/StoreBudgetTest.kt
+++ b/store/src/test/kotlin/io/mimosatrail/store/client/StoreBudgetTest.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.store
+package io.mimosatrail.store.client
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
--- a/platform/src/test/kotlin/io/mimosatrail/platform/instances/HttpInstanceListTest.kt
+++ b/store/src/test/kotlin/io/mimosatrail/store/instances/HttpInstanceListTest.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.instances
+package io.mimosatrail.store.instances
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
--- a/platform/src/test/kotlin/io/mimosatrail/platform/ticket/SnapshotWriterTest.kt
+++ b/store/src/test/kotlin/io/mimosatrail/store/ticket/SnapshotWriterTest.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.ticket
+package io.mimosatrail.store.ticket
 
 import com.github.michaelbull.result.get
 import io.kotest.core.spec.style.FunSpec
@@ -10,8 +10,8 @@
 import io.mimosatrail.core.config.Configuration
 import io.mimosatrail.core.id.ConfigRevision
 import io.mimosatrail.core.store.StoreCommand
-import io.mimosatrail.platform.store.FakeStore
-import io.mimosatrail.platform.store.Fault
+import io.mimosatrail.store.client.FakeStore
+import io.mimosatrail.store.client.Fault
 import kotlin.random.Random
 
 private suspend fun FakeStore.submitAll(numbers: IntRange) = numbers.forEach { number ->
--- a/platform/src/test/kotlin/io/mimosatrail/platform/ticket/TicketSubmitterTest.kt
+++ b/store/src/test/kotlin/io/mimosatrail/store/ticket/TicketSubmitterTest.kt
@@ -1,4 +1,4 @@
-package io.mimosatrail.platform.ticket
+package io.mimosatrail.store.ticket
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
@@ -13,8 +13,8 @@
 import io.mimosatrail.core.id.ServiceId
 import io.mimosatrail.core.id.TicketNumber
 import io.mimosatrail.core.store.StoreCommand
-import io.mimosatrail.platform.store.FakeStore
-import io.mimosatrail.platform.store.Fault
+import io.mimosatrail.store.client.FakeStore
+import io.mimosatrail.store.client.Fault
 import kotlin.random.Random
 
 private suspend fun FakeStore.submit(ticket: Ticket) =
