--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
@@ -17,15 +17,27 @@
  * end or another engine's begin.
  */
 class PathSearch(private val profile: EngineProfile, private val settings: PathSettings = PathSettings()) {
-    /** The best path, or null where the engines with room do not cover all layers. */
-    fun best(engines: List<PathEngine>, demand: PathDemand): EnginePath? =
-        search(engines, demand, endsWithin = true)?.takeIf { it.usesEachEngineOnce() }
-            ?: search(engines, demand, endsWithin = false)
+    /**
+     * The best path, or null where the engines with room do not cover all layers. With [firstPart] the path begins
+     * with that part, as for a stream that is under way.
+     */
+    fun best(engines: List<PathEngine>, demand: PathDemand, firstPart: PathPart? = null): EnginePath? =
+        search(engines, demand, firstPart, endsWithin = true)?.takeIf { it.usesEachEngineOnce() }
+            ?: search(engines, demand, firstPart, endsWithin = false)
 
-    private fun search(engines: List<PathEngine>, demand: PathDemand, endsWithin: Boolean): EnginePath? {
+    private fun search(
+        engines: List<PathEngine>,
+        demand: PathDemand,
+        firstPart: PathPart?,
+        endsWithin: Boolean,
+    ): EnginePath? {
         val starts = engines.map { it.layers.first }.toSortedSet()
         val reached = Array(profile.layers + 1) { HashMap<PlaceId, Step>() }
-        reached[0][demand.place] = Step(0.0, null, null)
+        if (firstPart == null) {
+            reached[0][demand.place] = Step(0.0, null, null)
+        } else {
+            reached[firstPart.layers.end][firstPart.engine.place] = Step(0.0, firstPart, null)
+        }
         for (boundary in 0 until profile.layers) {
             if (reached[boundary].isEmpty()) continue
             for (engine in engines) {
@@ -72,7 +84,8 @@
 
     private fun crossing(from: PlaceId, to: PlaceId, boundary: Int, demand: PathDemand): Double {
         if (from == to) return 0.0
-        val bytes = if (boundary == 0) 0.0 else profile.activationBytes.toDouble() * demand.tokens
+        if (boundary == 0) return demand.outputTokens * settings.remoteMillis
+        val bytes = profile.activationBytes.toDouble() * demand.tokens
         val transfer = bytes / profile.crossPlaceBytesPerSecond * 1_000
         return transfer * settings.crossingWeight + demand.outputTokens * settings.crossingMillis
     }
@@ -89,15 +102,17 @@
  * Weights of the path search.
  *
  * A token waits for the pass under way before its own, hence [passesPerToken]. [hopMillis] and [crossingMillis] are
- * paid for each token and hop, within a place and between places. The pipe between places is shared by all streams, so
- * a transfer over it counts [crossingWeight] times. An engine takes no stream that fills more than [fullShare] of its
- * KV cache; [crowdingWeight] makes a nearly full one less attractive.
+ * paid for each token and hop, within a place and between places. The pipe between places carries less than one
+ * crossing a token at the usual load, so a transfer over it counts [crossingWeight] times. A path that lies in another
+ * place altogether costs [remoteMillis] a token: it takes room from the streams of that place. An engine takes no
+ * stream that fills more than [fullShare] of its KV cache; [crowdingWeight] makes a nearly full one less attractive.
  */
 data class PathSettings(
     val passesPerToken: Double = 1.5,
     val hopMillis: Double = 0.2,
-    val crossingMillis: Double = 0.5,
+    val crossingMillis: Double = 25.0,
     val crossingWeight: Double = 8.0,
+    val remoteMillis: Double = 10.0,
     val fullShare: Double = 0.95,
     val crowdingWeight: Double = 1.0,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/placement/GroupPlan.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/placement/GroupPlan.kt
@@ -26,11 +26,16 @@
             .forEach { assign(it, coverage.neediestWindow(width(it))) }
     }
 
-    /** Moves engines whose layers all have another holder, then widens neighbours, until no layer is without a holder. */
+    /**
+     * Gives every layer a holder. Neighbours of a gap take it over if that leaves them room, since that frees nothing
+     * that is in use; else engines move whose layers all have another holder; else neighbours take what just fits.
+     */
     fun closeGaps() {
-        repeat(engines.size) {
+        repeat(MOST_CHANGES) {
             val gap = coverage.firstGap() ?: return
-            if (!moveSpare(gap) && !widenNeighbour(gap)) return
+            val isCloser = widenNeighbour(gap, settings.widenedTokens) || moveSpare(gap) ||
+                widenNeighbour(gap, settings.leastTokens)
+            if (!isCloser) return
         }
     }
 
@@ -46,11 +51,12 @@
     private fun shortfall(gap: LayerRange, width: Int): Double =
         if (width >= gap.size) (width - gap.size) * WASTE else (gap.size - width).toDouble()
 
-    private fun widenNeighbour(gap: LayerRange): Boolean {
+    private fun widenNeighbour(gap: LayerRange, leastRoom: Int): Boolean {
+        fun most(engine: PlannedEngine) = profile.layersWithRoom(engine.accelerator, leastRoom)
         val neighbour = engines.filter { engine -> ranges[engine.id]?.let { it touches gap } ?: false }
-            .maxByOrNull { mostLayers(it) - ranges.getValue(it.id).size } ?: return false
+            .maxByOrNull { most(it) - ranges.getValue(it.id).size } ?: return false
         val held = ranges.getValue(neighbour.id)
-        val extra = minOf(gap.size, mostLayers(neighbour) - held.size)
+        val extra = minOf(gap.size, most(neighbour) - held.size)
         if (extra <= 0) return false
         coverage.remove(held)
         val wider = if (held.end == gap.first) {
@@ -68,17 +74,17 @@
     }
 
     private fun fits(engine: PlannedEngine, range: LayerRange): Boolean =
-        range.end <= profile.layers && range.size <= mostLayers(engine)
+        range.end <= profile.layers && range.size <= profile.layersWithRoom(engine.accelerator, settings.leastTokens)
 
     private fun width(engine: PlannedEngine): Int = profile.layersWithRoom(engine.accelerator, tokens)
 
-    private fun mostLayers(engine: PlannedEngine): Int =
-        profile.layersWithRoom(engine.accelerator, settings.leastTokens)
-
     private infix fun LayerRange.touches(gap: LayerRange): Boolean = end == gap.first || first == gap.end
 
     private companion object {
         /** Cost of a layer beyond the gap, relative to a layer that stays open. */
         const val WASTE = 0.01
+
+        /** Bound on the steps of closing gaps. */
+        const val MOST_CHANGES = 200
     }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/placement/PlacementPlanner.kt
@@ -47,10 +47,13 @@
 
 /**
  * Aims of the placement, in tokens of KV cache that each engine has room for and in [copies] of each layer in a group.
+ * An engine that takes over layers of a lost neighbour keeps room for [widenedTokens] if it can, and for [leastTokens]
+ * at any rate.
  */
 data class PlacementSettings(
     val copies: Double = 1.3,
     val leastTokens: Int = 4_000,
+    val widenedTokens: Int = 18_000,
     val mostTokens: Int = 120_000,
     val tokenStep: Int = 1_000,
 )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -2,6 +2,7 @@
 
 import io.mimosatrail.core.front.RouteKind
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.outcome.Outcome
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
@@ -12,7 +13,8 @@
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.net.ConnectionKey
 import io.mimosatrail.gateway.net.Lease
-import io.netty.buffer.ByteBuf
+import io.mimosatrail.gateway.wire.OrderOutcome
+import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -46,6 +48,11 @@
         attempt?.let { if (it.isSilent(now)) it.investigate(now) }
     }
 
+    /** Leads the stream around [engine], which is down. */
+    fun onEngineDown(engine: InstanceId) {
+        if (!isOver) attempt?.onEngineDown(engine)
+    }
+
     private fun sendNext() {
         val target = targets.choose(history.tried + unreachable)
         if (target == null) return finish(noTarget())
@@ -155,10 +162,14 @@
     )
 
     /** One send. */
-    private inner class Attempt(val target: Target) : AttemptOwner {
+    private inner class Attempt(target: Target) : AttemptOwner {
         private val exchange = UpstreamExchange(call, target, context, answer, this)
         private var isReleased = false
-        private var isInvestigated = false
+        private var investigateAfter: Moment? = null
+        private var isRedirecting = false
+
+        var target = target
+            private set
 
         val isSent: Boolean get() = exchange.isSent
 
@@ -170,7 +181,8 @@
             context.pool.lease(key, most, ::onLease)
         }
 
-        fun isSilent(now: Moment): Boolean = !isInvestigated && exchange.isSilent(now)
+        fun isSilent(now: Moment): Boolean =
+            exchange.isSilent(now) && !isRedirecting && investigateAfter?.let { now >= it } ?: true
 
         fun setReading(isReading: Boolean) = exchange.setReading(isReading)
 
@@ -186,25 +198,54 @@
             context.traffic.release(target.path, target.tokens)
         }
 
-        /** Finds out which engine the answer waits for, then sends elsewhere where that is allowed. */
+        /** Finds out what the answer waits for, and sends elsewhere where that is allowed. */
         fun investigate(now: Moment) {
-            isInvestigated = true
-            if (!call.route.isRepeatable) return
-            if (target.path.isEmpty()) {
-                context.traffic.onSilence(target.upstream.id, now)
-                return exchange.fail(SendEnd.SILENT, "no answer for ${exchange.silence(now)}")
-            }
-            StallSearch(context, target, call.fields.request).run { culprits ->
-                if (attempt !== this || !exchange.isSilent(context.clock())) return@run
-                if (culprits.isEmpty()) {
-                    isInvestigated = !exchange.isVerySilent(context.clock())
-                    if (isInvestigated) exchange.fail(SendEnd.SILENT, "no event for ${exchange.silence(context.clock())}")
-                } else {
-                    exchange.fail(SendEnd.SILENT, "the stream waits for ${culprits.joinToString(",")}")
+            investigateAfter = now + INVESTIGATION_PAUSE
+            if (target.path.isEmpty()) return onPlainSilence(now)
+            context.stalls.run(target) {
+                val later = context.clock()
+                if (attempt === this && !isRedirecting && exchange.isVerySilent(later)) {
+                    failIfRepeatable("no event for ${exchange.silence(later)}")
                 }
             }
         }
 
+        /** Redirects the stream if it passes [engine]; one that begins there has to be sent again. */
+        fun onEngineDown(engine: InstanceId) {
+            if (isRedirecting || !isSent || engine !in target.members) return
+            if (engine == target.upstream.id) return failIfRepeatable("engine $engine is down")
+            val request = call.fields.request
+            val next = if (request == null) null else targets.redirect(target)
+            if (request == null || next == null) return failIfRepeatable("no way around engine $engine")
+            isRedirecting = true
+            context.scope.launch { redirect(request, next) }
+        }
+
+        private suspend fun redirect(request: RequestId, next: Target) {
+            val outcome = context.engines.repath(next.upstream, request, next.path)
+            log("redirected", this, "to" to next, "outcome" to outcome)
+            isRedirecting = false
+            if (attempt !== this) return
+            if (outcome != OrderOutcome.Accepted) return failIfRepeatable("the stream could not be redirected")
+            context.traffic.release(target.path, target.tokens)
+            target = next
+            context.traffic.reserve(target.path, target.tokens)
+            exchange.onRedirected()
+        }
+
+        private fun onPlainSilence(now: Moment) {
+            context.traffic.onSilence(target.upstream.id, now)
+            failIfRepeatable("no answer for ${exchange.silence(now)}")
+        }
+
+        /** Ends the send so that the request goes elsewhere, unless that is not allowed; then it waits on. */
+        private fun failIfRepeatable(detail: String) {
+            if (!call.route.isRepeatable || !history.mayFailAndSendAgain()) return
+            if (targets.choose(history.tried + unreachable) == null) return
+            isNextSendPaid = isNextSendPaid || context.retries.take(call.service.id)
+            if (isNextSendPaid) exchange.fail(SendEnd.SILENT, detail)
+        }
+
         override fun onFailed(end: SendEnd, detail: String) = onFailed(this, end, detail)
 
         override fun mayReplaceFailure(): Boolean {
@@ -242,6 +283,9 @@
         /** Connections that may fail before a request is refused. */
         const val MAX_FAILED_CONNECTS = 3
 
+        /** A silent answer is looked into this often. */
+        val INVESTIGATION_PAUSE = 400.milliseconds
+
         /** A send that would have less time than this is not made. */
         val LEAST_TIME_FOR_SEND = 50.milliseconds
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -28,4 +28,5 @@
     val scope: CoroutineScope,
 ) {
     val balancer = PlainBalancer(traffic, place)
+    val stalls = StallSearch(engines, traffic, clock, scope, inFlight::onEngineDown)
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.gateway.forward
 
+import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.time.Moment
 
 /** Requests that are being forwarded. [tick] lets each look at its deadlines. */
@@ -16,5 +17,8 @@
         forwards -= forward
     }
 
+    /** Lets every stream that passes [engine] look for another way. */
+    fun onEngineDown(engine: InstanceId) = forwards.toList().forEach { it.onEngineDown(engine) }
+
     fun tick(now: Moment) = forwards.toList().forEach { it.onTick(now) }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
@@ -17,4 +17,7 @@
 internal interface TargetChooser {
     /** A target without the upstreams in [tried], or null where there is none. */
     fun choose(tried: Set<InstanceId>): Target?
+
+    /** A target that begins as [current] and avoids engines that are down, or null where there is none. */
+    fun redirect(current: Target): Target? = null
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -32,6 +32,13 @@
         return Target(first, path.parts, demand.tokens)
     }
 
+    override fun redirect(current: Target): Target? {
+        val records = context.registry.of(call.service.id)
+        val engines = view.rows(records, emptySet(), context.share().perPlace, context.clock())
+        val path = search.best(engines, demand(), current.path.first()) ?: return null
+        return Target(current.upstream, path.parts, current.tokens)
+    }
+
     private fun demand(): PathDemand {
         val prompt = call.fields.prompt ?: profile.usualPromptTokens
         val limit = call.fields.outputLimit ?: profile.usualOutputTokens
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -56,7 +56,12 @@
     fun isSilent(now: Moment): Boolean = isSent && silence(now) > silenceLimit()
 
     /** True where waiting any longer would make the caller leave. */
-    fun isVerySilent(now: Moment): Boolean = isSent && silence(now) > silenceLimit() * 2
+    fun isVerySilent(now: Moment): Boolean = isSent && silence(now) > LONGEST_SILENCE
+
+    /** Gives a stream that was led another way time to go on. */
+    fun onRedirected() {
+        lastSign = context.clock()
+    }
 
     fun setReading(isReading: Boolean) {
         connection?.setReading(isReading)
@@ -221,7 +226,10 @@
         val LEAST_SILENCE = 250.milliseconds
 
         /** Callers leave a stream after a gap of two seconds; this leaves time to go on elsewhere. */
-        val EVENT_SILENCE = 700.milliseconds
-        val FIRST_EVENT_SILENCE = 900.milliseconds
+        val LONGEST_SILENCE = 1_300.milliseconds
+
+        /** Pauses longer than this are looked into; asking costs little. */
+        val EVENT_SILENCE = 400.milliseconds
+        val FIRST_EVENT_SILENCE = 600.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
@@ -1,7 +1,9 @@
 package io.mimosatrail.gateway.wire
 
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.path.PathPart
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.registry.UpstreamRecord
 
@@ -15,6 +17,12 @@
      * an answer may take effect later.
      */
     suspend fun place(engine: UpstreamRecord, layers: LayerRange, orders: Long): OrderOutcome
+
+    /**
+     * Orders [first], the first engine of a stream under way, to lead it over [path] from now on. The first part of the
+     * path must be the one the stream has. Engines that are new on the path read the tokens so far.
+     */
+    suspend fun repath(first: UpstreamRecord, request: RequestId, path: List<PathPart>): OrderOutcome
 }
 
 /**
