Share loads and placements between entries, bound what crosses the pipes

Change: datagrams tell loads, engines found down and placements; a budget per pipe; retries bounded in a sliding window; early requests wait up to 0.7 s.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
@@ -9,33 +9,41 @@
 /**
  * The engines of a service as the path search sees them: those that hold layers, are not draining and are not avoided.
  *
- * This process knows only its own streams; others of its kind send about as many, hence [sharers], the number of
- * entries that use the same engines.
+ * The load is this entry's own and what the others told. Entries that were not heard are taken to have as much as the
+ * average of those known.
  */
-class EngineView(private val traffic: UpstreamTraffic, private val profile: EngineProfile) {
-    /** Rows for [records], without those in [excluded]. */
+class EngineView(
+    private val traffic: UpstreamTraffic,
+    private val peers: PeerLoads,
+    private val profile: EngineProfile,
+) {
+    /** Rows for [records], without those in [excluded], where [entries] entries are at work. */
     fun rows(
         records: List<UpstreamRecord>,
         excluded: Set<InstanceId>,
-        sharers: Double,
+        entries: Int,
         now: Moment,
-    ): List<PathEngine> = records.mapNotNull { record ->
-        if (record.isDraining || record.id in excluded) null else row(record, sharers, now)
+    ): List<PathEngine> {
+        val unheard = (entries.toDouble() / (1 + peers.heard(now))).coerceAtLeast(1.0)
+        return records.mapNotNull { record ->
+            if (record.isDraining || record.id in excluded) null else row(record, unheard, now)
+        }
     }
 
-    private fun row(record: UpstreamRecord, sharers: Double, now: Moment): PathEngine? {
+    private fun row(record: UpstreamRecord, unheard: Double, now: Moment): PathEngine? {
         val layers = record.layers ?: return null
         val accelerator = profile.kinds[record.kind] ?: return null
         val row = traffic[record.id]
         if (row.isAvoided(now)) return null
+        val others = peers.at(record.id, now)
         return PathEngine(
             id = record.id,
             address = record.address,
             place = record.place,
             accelerator = accelerator,
             layers = layers,
-            sequences = row.sequences * sharers,
-            tokenLayers = row.tokenLayers * sharers,
+            sequences = (row.sequences + others.sequences) * unheard,
+            tokenLayers = (row.tokenLayers + others.tokenLayers) * unheard,
             room = profile.tokenRoom(accelerator, layers.size).toDouble() * layers.size,
             slowness = row.slowness,
         )
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
@@ -9,6 +9,8 @@
 class TrafficRow {
     private var health = UpstreamHealth()
     private var avoidedUntil: Moment? = null
+    private var toldDownUntil: Moment? = null
+    private var foundDownAt: Moment? = null
 
     /** Requests that were sent and not yet answered. */
     var outstanding = 0
@@ -33,7 +35,10 @@
     fun isAvoided(now: Moment): Boolean = isSilent(now) || avoidedUntil?.let { now < it } ?: false
 
     /** True while it is taken to be down or cut off. */
-    fun isSilent(now: Moment): Boolean = health.isEjected(now)
+    fun isSilent(now: Moment): Boolean = health.isEjected(now) || toldDownUntil?.let { now < it } ?: false
+
+    /** True shortly after this process itself found it to be down. */
+    internal fun wasFoundDown(now: Moment): Boolean = foundDownAt?.let { now - it < FOUND_DOWN_SPAN } ?: false
 
     internal fun onStart() {
         outstanding++
@@ -60,6 +65,11 @@
 
     internal fun onSilence(now: Moment) {
         health.onFailure(now)
+        foundDownAt = now
+    }
+
+    internal fun onToldDown(now: Moment) {
+        toldDownUntil = now + TOLD_DOWN_PAUSE
     }
 
     internal fun onRefusal(now: Moment) {
@@ -69,11 +79,19 @@
     internal fun onRestart() {
         health = UpstreamHealth()
         avoidedUntil = null
+        toldDownUntil = null
+        foundDownAt = null
         failureShare = 0.0
         slowness = 1.0
     }
 
     private companion object {
+        /** What this process found is told to others for as long as a few messages take. */
+        val FOUND_DOWN_SPAN: Duration = 700.milliseconds
+
+        /** Hearsay counts for less long than what this process saw itself. */
+        val TOLD_DOWN_PAUSE: Duration = 800.milliseconds
+
         /** Weight of the newest answer in the failure share: about the last ten count. */
         const val FAILURE_GAIN = 0.1
 
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
@@ -24,6 +24,21 @@
     /** Notes that [id] took no connection or gave no sign for too long. */
     fun onSilence(id: InstanceId, now: Moment) = get(id).onSilence(now)
 
+    /** Notes that another entry found [id] to be down; answers true where that is news. */
+    fun onToldDown(id: InstanceId, now: Moment): Boolean {
+        val row = get(id)
+        val isNews = !row.isSilent(now)
+        row.onToldDown(now)
+        return isNews
+    }
+
+    /** Upstreams that this process has just found to be down. */
+    fun foundDown(now: Moment): List<InstanceId> = rows.filter { (_, row) -> row.wasFoundDown(now) }.keys.toList()
+
+    /** What this process has at each engine. */
+    fun loads(): List<EngineLoad> = rows.filter { (_, row) -> row.sequences > 0 }
+        .map { (id, row) -> EngineLoad(id, row.sequences, row.tokenLayers) }
+
     /** Notes that [id] would not take a request or its part of one. */
     fun onRefusal(id: InstanceId, now: Moment) = get(id).onRefusal(now)
 
--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
@@ -16,7 +16,11 @@
  * The search runs over layer boundaries and the place of the last part. A part may end wherever its engine's layers
  * end or another engine's begin.
  */
-class PathSearch(private val profile: EngineProfile, private val settings: PathSettings = PathSettings()) {
+class PathSearch(
+    private val profile: EngineProfile,
+    private val settings: PathSettings = PathSettings(),
+    private val mayCross: (PlaceId, PlaceId) -> Boolean = { _, _ -> true },
+) {
     /**
      * The best path, or null where the engines with room do not cover all layers. With [firstPart] the path begins
      * with that part, as for a stream that is under way.
@@ -62,7 +66,8 @@
         val partMillis = partMillis(part, demand) ?: return
         val to = reached[part.layers.end]
         for ((place, step) in reached[boundary]) {
-            val millis = step.millis + partMillis + crossing(place, part.engine.place, boundary, demand)
+            val crossing = crossing(place, part.engine.place, boundary, demand) ?: continue
+            val millis = step.millis + partMillis + crossing
             val known = to[part.engine.place]
             if (known == null || millis < known.millis) to[part.engine.place] = Step(millis, part, step)
         }
@@ -82,9 +87,11 @@
         return (read + write) * share * engine.slowness * crowding + demand.outputTokens * settings.hopMillis
     }
 
-    private fun crossing(from: PlaceId, to: PlaceId, boundary: Int, demand: PathDemand): Double {
+    /** Expected time for crossing from place to place, or null where the pipe between them bears no more. */
+    private fun crossing(from: PlaceId, to: PlaceId, boundary: Int, demand: PathDemand): Double? {
         if (from == to) return 0.0
         if (boundary == 0) return demand.outputTokens * settings.remoteMillis
+        if (!mayCross(from, to)) return null
         val bytes = profile.activationBytes.toDouble() * demand.tokens
         val transfer = bytes / profile.crossPlaceBytesPerSecond * 1_000
         return transfer * settings.crossingWeight + demand.outputTokens * settings.crossingMillis
@@ -110,7 +117,7 @@
 data class PathSettings(
     val passesPerToken: Double = 1.5,
     val hopMillis: Double = 0.2,
-    val crossingMillis: Double = 25.0,
+    val crossingMillis: Double = 40.0,
     val crossingWeight: Double = 8.0,
     val remoteMillis: Double = 10.0,
     val fullShare: Double = 0.95,
--- a/core/src/main/kotlin/io/mimosatrail/core/pipeline/LayerRange.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/pipeline/LayerRange.kt
@@ -12,6 +12,13 @@
     /** Number of layers. */
     val size: Int get() = end - first
 
+    /** Layers of both ranges, or null where there are none. */
+    infix fun intersect(other: LayerRange): LayerRange? {
+        val from = maxOf(first, other.first)
+        val to = minOf(end, other.end)
+        return if (from < to) LayerRange(from, to) else null
+    }
+
     override fun toString(): String = "$first..<$end"
 }
 
--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -13,7 +13,9 @@
  * until [returnGrace] after the store became reachable again. Not thread-safe.
  */
 class UpstreamRegistry(private val returnGrace: Duration = RETURN_GRACE) {
+    private val listed = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val records = LinkedHashMap<InstanceId, UpstreamRecord>()
+    private val placements = HashMap<InstanceId, ToldPlacement>()
     private var byService = emptyMap<ServiceId, List<UpstreamRecord>>()
     private var lastListing: Moment? = null
     private var reachableSince: Moment? = null
@@ -34,19 +36,33 @@
     fun age(now: Moment): Duration? = lastListing?.let { now - it }
 
     /** Takes a whole listing that was read at [now] and answers what it changed. */
-    fun onListing(listed: List<UpstreamRecord>, now: Moment): List<RegistryChange> {
+    fun onListing(listing: List<UpstreamRecord>, now: Moment): List<RegistryChange> {
         if (reachableSince == null) reachableSince = now
         lastListing = now
-        val seen = listed.associateBy { it.id }
+        val seen = listing.associateBy { it.id }
+        if (mayForget(now)) listed.keys.retainAll(seen.keys)
+        listed += seen
+        return refresh(now)
+    }
+
+    /** Takes word of a placement that the registry does not show yet, and answers what it changed. */
+    fun onPlacement(told: ToldPlacement, now: Moment): List<RegistryChange> {
+        placements[told.id] = told
+        return refresh(now)
+    }
+
+    /** Joins the listing with what was told of placements since. */
+    private fun refresh(now: Moment): List<RegistryChange> {
+        placements.values.removeIf { told -> told.isOver(listed[told.id], now) }
         val changes = mutableListOf<RegistryChange>()
-        for (record in listed) {
-            val previous = records.put(record.id, record)
-            if (previous != record) changes += RegistryChange(record.id, previous, record)
-        }
-        if (mayForget(now)) {
-            val gone = records.keys - seen.keys
-            gone.forEach { id -> records.remove(id)?.let { changes += RegistryChange(id, it, null) } }
+        for (record in listed.values) {
+            val told = placements[record.id]
+            val joined = if (told == null) record else record.copy(layers = told.layers)
+            val previous = records.put(record.id, joined)
+            if (previous != joined) changes += RegistryChange(record.id, previous, joined)
         }
+        val gone = records.keys - listed.keys
+        gone.forEach { id -> records.remove(id)?.let { changes += RegistryChange(id, it, null) } }
         if (changes.isNotEmpty()) byService = records.values.groupBy { it.service }
         return changes
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
@@ -5,7 +5,7 @@
 import io.mimosatrail.core.id.InstanceId
 
 /** Sends of one request that no upstream may have run are limited only by this. */
-private const val MAX_UNRUN_SENDS = 3
+private const val MAX_UNRUN_SENDS = 5
 
 /**
  * The sends of one request of [route] so far; decides whether another may follow and what its caller may be told.
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -1,9 +1,11 @@
 package io.mimosatrail.gateway
 
 import io.micrometer.core.instrument.MeterRegistry
+import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.front.FrontConfiguration
 import io.mimosatrail.core.front.FrontLimits
+import io.mimosatrail.core.registry.ToldPlacement
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
@@ -19,6 +21,8 @@
 import io.mimosatrail.gateway.forward.RequestRouter
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.front.FrontServer
+import io.mimosatrail.gateway.gossip.LoadGossip
+import io.mimosatrail.gateway.gossip.PlacedEngine
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.net.ConnectionPool
 import io.mimosatrail.gateway.net.ControlCalls
@@ -52,8 +56,9 @@
     private val ports = makePorts(ControlCalls(pool, loop))
     private val registry = UpstreamRegistry()
     private val traffic = UpstreamTraffic()
+    private val peerLoads = PeerLoads()
     private val inFlight = InFlightTable()
-    private val membership = EntryMembership(ports.store, settings.instance, settings.place, clock)
+    private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
     private val followed = ConfigurationFollower(
         ports.store,
         ports.configurationKey,
@@ -79,6 +84,7 @@
         isHolder = { membership.isDutyHolder },
         confirmHolder = membership::confirmDuty,
         settings = settings.placement,
+        onPlaced = ::onPlaced,
         clock = clock,
         scope = scope,
     )
@@ -89,17 +95,36 @@
         pool = pool,
         registry = registry,
         traffic = traffic,
-        retries = RetryBudgets(settings.retryRatio, settings.retrySlack) { membership.share.entries },
+        peerLoads = peerLoads,
+        retries = RetryBudgets(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
+            membership.share.entries
+        },
         engines = ports.engines,
         share = { membership.share },
         inFlight = inFlight,
         meters = ForwardMeters(meters),
         scope = scope,
     )
+    private val gossip = LoadGossip(
+        self = settings.instance,
+        traffic = traffic,
+        loads = peerLoads,
+        peers = { membership.share.peers },
+        placed = duty::placed,
+        onDown = inFlight::onEngineDown,
+        onPlaced = ::onPlaced,
+        loop = loop,
+        clock = clock,
+    )
     private var isStopping = false
     private var isRefusing = false
     private var wasReady = false
-    private val router = RequestRouter(context, { followed.current }, { isRefusing })
+    private val router = RequestRouter(
+        context = context,
+        configuration = { followed.current },
+        isKnown = { followed.current != null && registry.isKnown },
+        isStopping = { isRefusing },
+    )
     private val front = FrontServer(group, clock, ::limits, router::serve)
     private val ready = FrontServer(group, clock, ::limits, ::serveReady)
 
@@ -107,7 +132,10 @@
     fun start() {
         front.listen(settings.front)
         ready.listen(settings.ready)
+        gossip.listen(settings.gossip)
+        timers.every("load gossip", LoadGossip.PERIOD, gossip::tell)
         timers.every("deadlines", DEADLINE_TICK) { inFlight.tick(it) }
+        timers.every("early requests", DEADLINE_TICK) { router.tick(it) }
         timers.every("idle connections", IDLE_TICK) { closeIdle() }
         loop.scheduleAtFixedRate(
             { timers.advance(clock()) },
@@ -141,6 +169,12 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
 
+    private fun onPlaced(placed: PlacedEngine) {
+        val until = clock() + PLACEMENT_WORD
+        val told = ToldPlacement(placed.engine, placed.startedMillis, placed.layers, until)
+        traffic.onRegistry(registry.onPlacement(told, clock()))
+    }
+
     private fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
 
     private fun limits(): FrontLimits = followed.current?.limits ?: DEFAULT_LIMITS
@@ -174,6 +208,9 @@
         val DEADLINE_TICK = 40.milliseconds
         val IDLE_TICK = 1.seconds
 
+        /** The registry shows a placement within a few heartbeats; until then the word of the duty holder counts. */
+        val PLACEMENT_WORD = 4.seconds
+
         /** Balancers take an entry out after two checks, one a second. */
         val NOTICE = 2_200.milliseconds
         val STOP_POLL = 50.milliseconds
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
@@ -9,16 +9,18 @@
 /**
  * Settings of one gateway entry.
  *
- * It listens for callers on [front], and for readiness checks and metrics on [ready]. All entries together may send a
- * service [retryRatio] of its requests and [retrySlack] more again in a window. A planned stop takes at most [grace].
+ * It listens for callers on [front], for readiness checks and metrics on [ready], and for other entries on [gossip]. All
+ * entries together may send a service [retryRatio] of its requests and [retrySlack] more again in [retryWindow]. A planned stop takes at most [grace].
  */
 data class GatewaySettings(
     val instance: InstanceId,
     val place: PlaceId,
     val front: PeerAddress,
     val ready: PeerAddress,
+    val gossip: PeerAddress,
     val retryRatio: Double,
     val retrySlack: Double,
+    val retryWindow: Duration,
     val grace: Duration,
     val placement: PlacementSettings = PlacementSettings(),
 )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/duty/PlacementDuty.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/duty/PlacementDuty.kt
@@ -13,6 +13,7 @@
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.gossip.PlacedEngine
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.wire.EngineControl
 import io.mimosatrail.gateway.wire.OrderOutcome
@@ -32,10 +33,12 @@
     private val isHolder: () -> Boolean,
     private val confirmHolder: suspend () -> Boolean,
     private val settings: PlacementSettings,
+    private val onPlaced: (PlacedEngine) -> Unit,
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
     private val orders = OrderTable()
+    private val recent = HashMap<InstanceId, Pair<PlacedEngine, Moment>>()
     private var settledSince: Moment? = null
     private var lastCount = 0
 
@@ -47,11 +50,24 @@
         }
     }
 
+    /** Placements of this entry that the registry may not show yet. */
+    fun placed(): List<PlacedEngine> {
+        val now = clock()
+        recent.values.removeIf { (_, at) -> now - at > TELL_SPAN }
+        return recent.values.map { it.first }
+    }
+
     private suspend fun tick() {
         val services = configuration()?.services?.values.orEmpty()
         val due = services.flatMap { service -> service.engine?.let { ordersFor(service, it) }.orEmpty() }
         if (due.isEmpty() || !confirmHolder()) return
-        due.forEach { (record, layers) -> scope.launch { order(record, layers) } }
+        val isServing = registry.all.any { it.layers != null }
+        val loads = services.mapNotNull { service -> service.engine?.let { service.id to it } }.toMap()
+        for ((record, layers) in due) {
+            scope.launch {
+                if (order(record, layers) && isServing) loads[record.service]?.let { follow(record, layers, it) }
+            }
+        }
     }
 
     private fun ordersFor(service: FrontService, profile: EngineProfile): List<Pair<UpstreamRecord, LayerRange>> {
@@ -81,17 +97,40 @@
         return usable.isNotEmpty() && settledSince?.let { now - it >= SETTLE } ?: false
     }
 
-    private suspend fun order(record: UpstreamRecord, layers: LayerRange) {
+    /** Tells everyone as soon as the engine serves its new layers, which the registry shows a heartbeat later. */
+    private suspend fun follow(record: UpstreamRecord, layers: LayerRange, profile: EngineProfile) {
+        val kept = record.layers?.let { layers intersect it }
+        if (kept != record.layers) tell(PlacedEngine(record.id, record.startedMillis, kept))
+        delay(profile.fullLoad * (layers.size - (kept?.size ?: 0)) / profile.layers)
+        repeat(MOST_LOOKS) {
+            val report = engines.report(record) ?: return
+            if (!report.isBusy && report.layers == layers) {
+                return tell(PlacedEngine(record.id, record.startedMillis, layers))
+            }
+            delay(LOOK_PAUSE)
+        }
+    }
+
+    private fun tell(placed: PlacedEngine) {
+        logEvent("placement", "told", "upstream" to placed.engine, "layers" to placed.layers)
+        recent[placed.engine] = placed to clock()
+        onPlaced(placed)
+    }
+
+    /** Answers true where the engine took the order. */
+    private suspend fun order(record: UpstreamRecord, layers: LayerRange): Boolean {
         orders.onOrder(record, layers, clock())
         val report = engines.report(record)
         if (report == null || report.isBusy) {
             orders.onRefused(record.id, clock())
-            return log("order-put-off", record, layers, "report" to report)
+            log("order-put-off", record, layers, "report" to report)
+            return false
         }
-        if (report.layers == layers) return
+        if (report.layers == layers) return false
         val outcome = engines.place(record, layers, report.orders)
         log("order-sent", record, layers, "orders" to report.orders, "outcome" to outcome)
         if (outcome is OrderOutcome.Refused) orders.onRefused(record.id, clock())
+        return outcome == OrderOutcome.Accepted
     }
 
     private fun log(event: String, record: UpstreamRecord, layers: LayerRange, vararg more: Pair<String, Any?>) =
@@ -109,6 +148,13 @@
         /** A lost engine is replaced soon after it is noticed; the plan itself takes about a millisecond. */
         val PERIOD: Duration = 300.milliseconds
         val SETTLE: Duration = 1_500.milliseconds
+
+        /** A load takes a little longer than its time where several run at once. */
+        val LOOK_PAUSE: Duration = 250.milliseconds
+        const val MOST_LOOKS = 8
+
+        /** How long others are told of a placement. */
+        val TELL_SPAN: Duration = 2.seconds
     }
 }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -2,12 +2,13 @@
 
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.LeaseId
-import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreKey
 import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
@@ -27,7 +28,7 @@
 internal class EntryMembership(
     private val store: StoreCall,
     private val self: InstanceId,
-    private val place: PlaceId,
+    private val gossip: PeerAddress,
     private val clock: Clock,
 ) {
     private val link = StoreLink("membership")
@@ -72,7 +73,7 @@
 
     private suspend fun register(): Boolean {
         if (isRegistered) return true
-        val put = StoreCommand.Put(ENTRIES / self.value, place.value.encodeToByteArray(), null, lease)
+        val put = StoreCommand.Put(ENTRIES / self.value, gossip.toString().encodeToByteArray(), null, lease)
         when (val reply = store(put)) {
             is StoreReply.Written -> isRegistered = true
             is StoreReply.Conflict -> dropLease("the lease has ended")
@@ -84,15 +85,21 @@
     private suspend fun list() {
         val listing = store.listAll(ROOT)
         if (listing !is Listing.Whole) return
-        val places = listing.values.filter { it.key.value.startsWith("$ENTRIES/") }
-            .map { PlaceId(it.value.decodeToString()) }
-        val counted = EntryShare.of(places)
+        val counted = EntryShare.of(self, listing.values.mapNotNull(::entry).toMap())
         if (counted != share) logEvent("membership", "entries-counted", "entries" to counted.entries)
         share = counted
         val holder = listing.values.firstOrNull { it.key == DUTY }?.value?.decodeToString()
         if (holder == null) claimDuty() else noteHolder(holder == self.value)
     }
 
+    private fun entry(value: StoredValue): Pair<InstanceId, PeerAddress>? {
+        val id = value.key.value.removePrefix("$ENTRIES/")
+        if (id == value.key.value) return null
+        val address = value.value.decodeToString()
+        val port = address.substringAfterLast(':').toIntOrNull() ?: return null
+        return InstanceId(id) to PeerAddress(address.substringBeforeLast(':'), port)
+    }
+
     private suspend fun claimDuty() {
         val put = StoreCommand.Put(DUTY, self.value.encodeToByteArray(), StoreRevision(0), lease)
         noteHolder(store(put) is StoreReply.Written)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryShare.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryShare.kt
@@ -1,17 +1,16 @@
 package io.mimosatrail.gateway.follow
 
-import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.net.PeerAddress
 
-/** How many entries share the upstreams: [entries] in all, and [perPlace] on average of the places that have any. */
-data class EntryShare(val entries: Int, val perPlace: Double) {
+/** The entries that share the upstreams: [entries] in all, and the addresses of the others. */
+internal data class EntryShare(val entries: Int, val peers: List<PeerAddress>) {
     companion object {
         /** Assumed before the first listing: a few entries, as on a small deployment. */
-        val UNKNOWN = EntryShare(4, 2.0)
+        val UNKNOWN = EntryShare(4, emptyList())
 
-        /** Share for entries in [places], one element for each entry. */
-        fun of(places: List<PlaceId>): EntryShare {
-            if (places.isEmpty()) return UNKNOWN
-            return EntryShare(places.size, places.size.toDouble() / places.distinct().size)
-        }
+        /** Share of [self] among all registered entries. */
+        fun of(self: InstanceId, addresses: Map<InstanceId, PeerAddress>) =
+            EntryShare(addresses.size.coerceAtLeast(1), addresses.filterKeys { it != self }.values.toList())
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -37,7 +37,7 @@
         context.inFlight += this
         call.caller.onGone = ::onGone
         call.caller.onWritable = { attempt?.setReading(true) }
-        context.retries.onFirstAttempt(call.service.id)
+        context.retries.onFirstAttempt(call.service.id, context.clock())
         sendNext()
     }
 
@@ -86,7 +86,7 @@
         if (!history.maySendAgain() || context.clock() + LEAST_TIME_FOR_SEND >= call.giveUpAt) return false
         if (answer.hasBegun && !call.route.isResumable) return false
         if (isNextSendPaid) return true.also { isNextSendPaid = false }
-        return context.retries.take(call.service.id)
+        return context.retries.take(call.service.id, context.clock())
     }
 
     private fun giveUp() {
@@ -242,7 +242,7 @@
         private fun failIfRepeatable(detail: String) {
             if (!call.route.isRepeatable || !history.mayFailAndSendAgain()) return
             if (targets.choose(history.tried + unreachable) == null) return
-            isNextSendPaid = isNextSendPaid || context.retries.take(call.service.id)
+            isNextSendPaid = isNextSendPaid || context.retries.take(call.service.id, context.clock())
             if (isNextSendPaid) exchange.fail(SendEnd.SILENT, detail)
         }
 
@@ -251,7 +251,7 @@
         override fun mayReplaceFailure(): Boolean {
             if (call.route.kind != RouteKind.IDEMPOTENT || !history.mayFailAndSendAgain()) return false
             if (targets.choose(history.tried + unreachable) == null) return false
-            isNextSendPaid = context.retries.take(call.service.id)
+            isNextSendPaid = context.retries.take(call.service.id, context.clock())
             return isNextSendPaid
         }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -1,8 +1,10 @@
 package io.mimosatrail.gateway.forward
 
+import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.PlainBalancer
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.path.PipeBudget
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
@@ -20,6 +22,7 @@
     val pool: ConnectionPool,
     val registry: UpstreamRegistry,
     val traffic: UpstreamTraffic,
+    val peerLoads: PeerLoads,
     val retries: RetryBudgets,
     val engines: EngineControl,
     val share: () -> EntryShare,
@@ -28,5 +31,6 @@
     val scope: CoroutineScope,
 ) {
     val balancer = PlainBalancer(traffic, place)
+    val pipes = PipeBudget()
     val stalls = StallSearch(engines, traffic, clock, scope, inFlight::onEngineDown)
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
@@ -6,6 +6,7 @@
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.outcome.RefusalReason
 import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.wire.CallFields
@@ -17,11 +18,27 @@
 internal class RequestRouter(
     private val context: ForwardContext,
     private val configuration: () -> FrontConfiguration?,
+    private val isKnown: () -> Boolean,
     private val isStopping: () -> Boolean,
     private val random: Random = Random.Default,
 ) {
-    /** Serves one request. */
+    private val early = ArrayDeque<Caller>()
+
+    /** Serves one request. One that comes before the first configuration waits for it a short while. */
     fun serve(caller: Caller) {
+        if (isKnown() || isStopping()) return route(caller)
+        caller.onGone = { early.remove(caller) }
+        early.addLast(caller)
+    }
+
+    /** Serves the requests that came before the first configuration, once it is there or they have waited long enough. */
+    fun tick(now: Moment) {
+        while (early.isNotEmpty() && (isKnown() || now - early.first().receivedAt > LONGEST_WAIT)) {
+            route(early.removeFirst())
+        }
+    }
+
+    private fun route(caller: Caller) {
         val fields = context.headers.readCall(caller.request.headers())
         val current = configuration()
         if (current == null) return refuse(caller, fields, notReady("no configuration has been read yet"))
@@ -77,6 +94,9 @@
     )
 
     private companion object {
+        /** An entry reads configuration and registry within some hundred milliseconds of its start. */
+        val LONGEST_WAIT = 700.milliseconds
+
         /** Another entry can take the request at once; the pause spreads callers that come back together. */
         val RETRY_AFTER_NOT_READY = 100.milliseconds
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -2,7 +2,9 @@
 
 import io.mimosatrail.core.balance.EngineView
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PlaceId
 import io.mimosatrail.core.path.PathDemand
+import io.mimosatrail.core.path.PathPart
 import io.mimosatrail.core.path.PathSearch
 import io.mimosatrail.core.placement.EngineProfile
 
@@ -20,25 +22,40 @@
     private val profile: EngineProfile,
     private val context: ForwardContext,
 ) : TargetChooser {
-    private val search = PathSearch(profile)
-    private val view = EngineView(context.traffic, profile)
+    private val search = PathSearch(profile, mayCross = ::mayCross)
+    private val view = EngineView(context.traffic, context.peerLoads, profile)
 
     override fun choose(tried: Set<InstanceId>): Target? {
         val records = context.registry.of(call.service.id)
-        val engines = view.rows(records, tried, context.share().perPlace, context.clock())
+        val engines = view.rows(records, tried, context.share().entries, context.clock())
         val demand = demand()
         val path = search.best(engines, demand) ?: return null
+        noteCrossings(path.parts, demand)
         val first = context.registry[path.parts.first().engine.id] ?: return null
         return Target(first, path.parts, demand.tokens)
     }
 
     override fun redirect(current: Target): Target? {
         val records = context.registry.of(call.service.id)
-        val engines = view.rows(records, emptySet(), context.share().perPlace, context.clock())
-        val path = search.best(engines, demand(), current.path.first()) ?: return null
+        val engines = view.rows(records, emptySet(), context.share().entries, context.clock())
+        val demand = demand()
+        val path = search.best(engines, demand, current.path.first()) ?: return null
+        noteCrossings(path.parts, demand)
         return Target(current.upstream, path.parts, current.tokens)
     }
 
+    private fun mayCross(from: PlaceId, to: PlaceId): Boolean {
+        val entries = context.share().entries
+        return context.pipes.mayCross(from, to, profile.crossPlaceBytesPerSecond, entries, context.clock())
+    }
+
+    private fun noteCrossings(path: List<PathPart>, demand: PathDemand) {
+        val bytes = profile.activationBytes.toDouble() * demand.tokens
+        path.zipWithNext { part, next ->
+            if (part.engine.place != next.engine.place) context.pipes.take(part.engine.place, next.engine.place, bytes)
+        }
+    }
+
     private fun demand(): PathDemand {
         val prompt = call.fields.prompt ?: profile.usualPromptTokens
         val limit = call.fields.outputLimit ?: profile.usualOutputTokens
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlCalls.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlCalls.kt
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import kotlin.coroutines.resume
@@ -31,13 +33,18 @@
 
 /** Sends control calls over kept connections. Runs on [loop]. */
 class ControlCalls internal constructor(private val pool: ConnectionPool, private val loop: EventLoop) {
+    private val limits = HashMap<PeerAddress, Semaphore>()
+
     /** Sends [call] and waits up to [timeout] for the whole answer. */
     suspend fun send(call: ControlCall, timeout: Duration): HttpAnswer {
         check(loop.inEventLoop()) { "control calls run on the event loop" }
         val exchange = Exchange(call)
-        return withTimeoutOrNull(timeout) { exchange.run() } ?: exchange.onTimeout(timeout)
+        return withTimeoutOrNull(timeout) { limit(call).withPermit { exchange.run() } } ?: exchange.onTimeout(timeout)
     }
 
+    private fun limit(call: ControlCall): Semaphore =
+        limits.getOrPut(call.address) { Semaphore(MOST_CONNECTIONS) }
+
     private inner class Exchange(private val call: ControlCall) : AnswerListener {
         private var connection: UpstreamConnection? = null
         private var waiting: CancellableContinuation<HttpAnswer>? = null
@@ -46,7 +53,7 @@
 
         suspend fun run(): HttpAnswer = suspendCancellableCoroutine { continuation ->
             waiting = continuation
-            pool.lease(ConnectionKey(call.address, call.upstream), MOST_CONNECTIONS) { lease ->
+            pool.lease(ConnectionKey(call.address, call.upstream), Int.MAX_VALUE) { lease ->
                 when (lease) {
                     is Lease.Failed -> end(HttpAnswer.NotSent(lease.detail))
                     is Lease.Ready -> if (continuation.isActive) sendOn(lease.connection) else lease.connection.abort()
@@ -85,7 +92,7 @@
     }
 
     private companion object {
-        /** Control calls of one entry to one peer that run at the same time. */
+        /** Control calls of one entry to one peer that run at the same time; more wait. */
         const val MOST_CONNECTIONS = 8
     }
 }
