Wait for room before refusing, let engines be filled

Change: a request without a path waits up to 1.5 objectives; the estimate is bounded; engines may be taken for 1.1 of their KV cache.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
@@ -24,7 +24,7 @@
         entries: Int,
         now: Moment,
     ): List<PathEngine> {
-        val unheard = (entries.toDouble() / (1 + peers.heard(now))).coerceAtLeast(1.0)
+        val unheard = (entries.toDouble() / (1 + peers.heard(now))).coerceIn(1.0, MOST_UNHEARD)
         return records.mapNotNull { record ->
             if (record.isDraining || record.id in excluded) null else row(record, unheard, now)
         }
@@ -48,4 +48,9 @@
             slowness = row.slowness,
         )
     }
+
+    private companion object {
+        /** An entry that has heard nobody yet, as after its start, does not take the others to be many times busier. */
+        const val MOST_UNHEARD = 2.0
+    }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
@@ -112,7 +112,8 @@
  * paid for each token and hop, within a place and between places. The pipe between places carries less than one
  * crossing a token at the usual load, so a transfer over it counts [crossingWeight] times. A path that lies in another
  * place altogether costs [remoteMillis] a token: it takes room from the streams of that place. An engine takes no
- * stream that fills more than [fullShare] of its KV cache; [crowdingWeight] makes a nearly full one less attractive.
+ * stream that brings the expected use of its KV cache over [fullShare]; more than 1, since streams end before they have
+ * filled what they may. [crowdingWeight] makes a nearly full engine less attractive.
  */
 data class PathSettings(
     val passesPerToken: Double = 1.5,
@@ -120,6 +121,6 @@
     val crossingMillis: Double = 40.0,
     val crossingWeight: Double = 8.0,
     val remoteMillis: Double = 10.0,
-    val fullShare: Double = 0.95,
-    val crowdingWeight: Double = 1.0,
+    val fullShare: Double = 1.1,
+    val crowdingWeight: Double = 2.0,
 )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -45,7 +45,8 @@
     fun onTick(now: Moment) {
         if (isOver) return
         if (now >= call.giveUpAt) return giveUp()
-        attempt?.let { if (it.isSilent(now)) it.investigate(now) }
+        val pending = attempt
+        if (pending == null) sendNext() else if (pending.isSilent(now)) pending.investigate(now)
     }
 
     /** Leads the stream around [engine], which is down. */
@@ -55,12 +56,18 @@
 
     private fun sendNext() {
         val target = targets.choose(history.tried + unreachable)
-        if (target == null) return finish(noTarget())
+        if (target == null) return onNoTarget()
         val next = Attempt(target)
         attempt = next
         next.begin()
     }
 
+    /** Waits for room as long as the answer can still begin in time, then refuses. */
+    private fun onNoTarget() {
+        val waited = context.clock() - call.caller.receivedAt
+        if (waited >= minOf(call.route.target * WAITED_TARGETS, LONGEST_WAIT_FOR_ROOM)) finish(noTarget())
+    }
+
     private fun onNotConnected(ended: Attempt, detail: String) {
         ended.release()
         attempt = null
@@ -283,6 +290,10 @@
         /** Connections that may fail before a request is refused. */
         const val MAX_FAILED_CONNECTS = 3
 
+        /** An answer that begins after its objective is worth less, but more than none. */
+        const val WAITED_TARGETS = 1.5
+        val LONGEST_WAIT_FOR_ROOM = 800.milliseconds
+
         /** A silent answer is looked into this often. */
         val INVESTIGATION_PAUSE = 400.milliseconds
 
