Act through store outages, learn from refusals, keep streams that only pause

Change: the holder goes on while the store is away and no later holder is heard; pauses double with refusals in a row, a second one leads to a health question; 421 takes the layers from our view; a stream that has begun is never ended for silence alone and waits for room before it is cut.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
@@ -28,6 +28,10 @@
     var failureShare = 0.0
         private set
 
+    /** Refusals in a row. */
+    var refusals = 0
+        private set
+
     /** Factor by which its passes take longer than usual. */
     var slowness = 1.0
 
@@ -73,7 +77,13 @@
     }
 
     internal fun onRefusal(now: Moment) {
-        avoidedUntil = now + REFUSAL_PAUSE
+        if (avoidedUntil?.let { now < it } != true) refusals++
+        avoidedUntil = now + REFUSAL_PAUSE * (1 shl (refusals - 1).coerceIn(0, MOST_DOUBLINGS))
+    }
+
+    /** Notes that it took its part of a request. */
+    internal fun onWorked() {
+        refusals = 0
     }
 
     internal fun onRestart() {
@@ -81,6 +91,7 @@
         avoidedUntil = null
         toldDownUntil = null
         foundDownAt = null
+        refusals = 0
         failureShare = 0.0
         slowness = 1.0
     }
@@ -97,5 +108,8 @@
 
         /** An engine that gives up layers or is short of memory is asked again after about one answer's time. */
         val REFUSAL_PAUSE: Duration = 400.milliseconds
+
+        /** The pause doubles up to 3.2 s with refusals in a row. */
+        const val MOST_DOUBLINGS = 3
     }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
@@ -39,6 +39,9 @@
     fun loads(): List<EngineLoad> = rows.filter { (_, row) -> row.sequences > 0 }
         .map { (id, row) -> EngineLoad(id, row.sequences, row.tokenLayers) }
 
+    /** Notes that each of [ids] took its part of a request. */
+    fun onWorked(ids: List<InstanceId>) = ids.forEach { rows[it]?.onWorked() }
+
     /** Notes that [id] would not take a request or its part of one. */
     fun onRefusal(id: InstanceId, now: Moment) = get(id).onRefusal(now)
 
--- a/core/src/main/kotlin/io/mimosatrail/core/front/FrontConfiguration.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/front/FrontConfiguration.kt
@@ -54,10 +54,15 @@
 /**
  * A service that host routes lead to.
  *
- * [maxConnections] is the number of connections that one upstream accepts from all entries together. [engine] is null
- * for a plain service.
+ * [maxConnections] is the number of connections that one upstream accepts from all entries together. [healthPath] tells
+ * whether it is healthy and not leaving. [engine] is null for a plain service.
  */
-data class FrontService(val id: ServiceId, val maxConnections: Int, val engine: EngineProfile?)
+data class FrontService(
+    val id: ServiceId,
+    val maxConnections: Int,
+    val healthPath: String,
+    val engine: EngineProfile?,
+)
 
 /** Bounds on what a caller may send, and on how long it may take or stay idle. Sizes are in bytes. */
 data class FrontLimits(
--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -15,7 +15,7 @@
 class UpstreamRegistry(private val returnGrace: Duration = RETURN_GRACE) {
     private val listed = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val records = LinkedHashMap<InstanceId, UpstreamRecord>()
-    private val placements = HashMap<InstanceId, ToldPlacement>()
+    private val words = HashMap<InstanceId, UpstreamWord>()
     private var byService = emptyMap<ServiceId, List<UpstreamRecord>>()
     private var lastListing: Moment? = null
     private var reachableSince: Moment? = null
@@ -45,19 +45,18 @@
         return refresh(now)
     }
 
-    /** Takes word of a placement that the registry does not show yet, and answers what it changed. */
-    fun onPlacement(told: ToldPlacement, now: Moment): List<RegistryChange> {
-        placements[told.id] = told
+    /** Takes what an entry saw of an upstream and the registry does not show yet, and answers what it changed. */
+    fun onWord(word: UpstreamWord, now: Moment): List<RegistryChange> {
+        words[word.id] = word
         return refresh(now)
     }
 
-    /** Joins the listing with what was told of placements since. */
+    /** Joins the listing with what was seen since. */
     private fun refresh(now: Moment): List<RegistryChange> {
-        placements.values.removeIf { told -> told.isOver(listed[told.id], now) }
+        words.values.removeIf { word -> word.isOver(listed[word.id], now) }
         val changes = mutableListOf<RegistryChange>()
         for (record in listed.values) {
-            val told = placements[record.id]
-            val joined = if (told == null) record else record.copy(layers = told.layers)
+            val joined = words[record.id]?.applyTo(record) ?: record
             val previous = records.put(record.id, joined)
             if (previous != joined) changes += RegistryChange(record.id, previous, joined)
         }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -5,7 +5,6 @@
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.front.FrontConfiguration
 import io.mimosatrail.core.front.FrontLimits
-import io.mimosatrail.core.registry.ToldPlacement
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
@@ -22,7 +21,7 @@
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.front.FrontServer
 import io.mimosatrail.gateway.gossip.LoadGossip
-import io.mimosatrail.gateway.gossip.PlacedEngine
+import io.mimosatrail.gateway.gossip.WordBoard
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.net.ConnectionPool
 import io.mimosatrail.gateway.net.ControlCalls
@@ -58,6 +57,7 @@
     private val traffic = UpstreamTraffic()
     private val peerLoads = PeerLoads()
     private val inFlight = InFlightTable()
+    private val words = WordBoard(registry, traffic, clock)
     private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
     private val followed = ConfigurationFollower(
         ports.store,
@@ -84,7 +84,7 @@
         isHolder = { membership.isDutyHolder },
         confirmHolder = membership::confirmDuty,
         settings = settings.placement,
-        onPlaced = ::onPlaced,
+        words = words,
         clock = clock,
         scope = scope,
     )
@@ -96,6 +96,7 @@
         registry = registry,
         traffic = traffic,
         peerLoads = peerLoads,
+        words = words,
         retries = RetryBudgets(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
             membership.share.entries
         },
@@ -110,9 +111,10 @@
         traffic = traffic,
         loads = peerLoads,
         peers = { membership.share.peers },
-        placed = duty::placed,
+        words = words,
+        duty = membership::dutyTerm,
         onDown = inFlight::onEngineDown,
-        onPlaced = ::onPlaced,
+        onHeard = membership::onHeard,
         loop = loop,
         clock = clock,
     )
@@ -169,12 +171,6 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
 
-    private fun onPlaced(placed: PlacedEngine) {
-        val until = clock() + PLACEMENT_WORD
-        val told = ToldPlacement(placed.engine, placed.startedMillis, placed.layers, until)
-        traffic.onRegistry(registry.onPlacement(told, clock()))
-    }
-
     private fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
 
     private fun limits(): FrontLimits = followed.current?.limits ?: DEFAULT_LIMITS
@@ -208,9 +204,6 @@
         val DEADLINE_TICK = 40.milliseconds
         val IDLE_TICK = 1.seconds
 
-        /** The registry shows a placement within a few heartbeats; until then the word of the duty holder counts. */
-        val PLACEMENT_WORD = 4.seconds
-
         /** Balancers take an entry out after two checks, one a second. */
         val NOTICE = 2_200.milliseconds
         val STOP_POLL = 50.milliseconds
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/duty/PlacementDuty.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/duty/PlacementDuty.kt
@@ -13,7 +13,7 @@
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
-import io.mimosatrail.gateway.gossip.PlacedEngine
+import io.mimosatrail.gateway.gossip.WordBoard
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.wire.EngineControl
 import io.mimosatrail.gateway.wire.OrderOutcome
@@ -33,12 +33,11 @@
     private val isHolder: () -> Boolean,
     private val confirmHolder: suspend () -> Boolean,
     private val settings: PlacementSettings,
-    private val onPlaced: (PlacedEngine) -> Unit,
+    private val words: WordBoard,
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
     private val orders = OrderTable()
-    private val recent = HashMap<InstanceId, Pair<PlacedEngine, Moment>>()
     private var settledSince: Moment? = null
     private var lastCount = 0
 
@@ -50,13 +49,6 @@
         }
     }
 
-    /** Placements of this entry that the registry may not show yet. */
-    fun placed(): List<PlacedEngine> {
-        val now = clock()
-        recent.values.removeIf { (_, at) -> now - at > TELL_SPAN }
-        return recent.values.map { it.first }
-    }
-
     private suspend fun tick() {
         val services = configuration()?.services?.values.orEmpty()
         val due = services.flatMap { service -> service.engine?.let { ordersFor(service, it) }.orEmpty() }
@@ -100,23 +92,17 @@
     /** Tells everyone as soon as the engine serves its new layers, which the registry shows a heartbeat later. */
     private suspend fun follow(record: UpstreamRecord, layers: LayerRange, profile: EngineProfile) {
         val kept = record.layers?.let { layers intersect it }
-        if (kept != record.layers) tell(PlacedEngine(record.id, record.startedMillis, kept))
+        if (kept != record.layers) words.onSeen(record, kept, isDraining = false)
         delay(profile.fullLoad * (layers.size - (kept?.size ?: 0)) / profile.layers)
         repeat(MOST_LOOKS) {
             val report = engines.report(record) ?: return
             if (!report.isBusy && report.layers == layers) {
-                return tell(PlacedEngine(record.id, record.startedMillis, layers))
+                return words.onSeen(record, layers, isDraining = false)
             }
             delay(LOOK_PAUSE)
         }
     }
 
-    private fun tell(placed: PlacedEngine) {
-        logEvent("placement", "told", "upstream" to placed.engine, "layers" to placed.layers)
-        recent[placed.engine] = placed to clock()
-        onPlaced(placed)
-    }
-
     /** Answers true where the engine took the order. */
     private suspend fun order(record: UpstreamRecord, layers: LayerRange): Boolean {
         orders.onOrder(record, layers, clock())
@@ -152,9 +138,6 @@
         /** A load takes a little longer than its time where several run at once. */
         val LOOK_PAUSE: Duration = 250.milliseconds
         const val MOST_LOOKS = 8
-
-        /** How long others are told of a placement. */
-        val TELL_SPAN: Duration = 2.seconds
     }
 }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -10,7 +10,6 @@
 import io.mimosatrail.core.store.StoreReply
 import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.core.time.Clock
-import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
@@ -33,16 +32,21 @@
 ) {
     private val link = StoreLink("membership")
     private var lease: LeaseId? = null
-    private var leaseEnds: Moment? = null
     private var isRegistered = false
-    private var holdsDuty = false
+    private val duty = DutyHold(self)
 
     /** Entries as last listed. */
     var share = EntryShare.UNKNOWN
         private set
 
-    /** True while this entry holds the placement duty by a lease that has certainly not ended. */
-    val isDutyHolder: Boolean get() = holdsDuty && leaseEnds?.let { clock() < it } ?: false
+    /** True while this entry may act for the placement duty. */
+    val isDutyHolder: Boolean get() = duty.mayAct(clock())
+
+    /** Term of the placement duty while this entry holds it. */
+    fun dutyTerm(): Long? = duty.term
+
+    /** Notes a message of another entry, which holds the duty in [term] if that is set. */
+    fun onHeard(peer: InstanceId, term: Long?) = duty.onHeard(peer, term, clock())
 
     /** Keeps the registration until cancelled. */
     suspend fun run() {
@@ -52,8 +56,11 @@
         }
     }
 
-    /** Asks the store whether the duty is still held; call it right before an order. */
-    suspend fun confirmDuty(): Boolean = holdsDuty && keepLease() && holdsDuty
+    /** Renews the lease and answers whether the duty is still this entry's; call it right before an order. */
+    suspend fun confirmDuty(): Boolean {
+        keepLease()
+        return duty.mayAct(clock())
+    }
 
     private suspend fun keepLease(): Boolean {
         val asked = clock()
@@ -63,10 +70,13 @@
             is StoreReply.Lease -> {
                 link.onAnswer()
                 lease = reply.id
-                leaseEnds = asked + reply.ttl - CLOCK_MARGIN
+                duty.onLease(asked + reply.ttl - CLOCK_MARGIN)
             }
             is StoreReply.Conflict -> dropLease("the lease has ended")
-            else -> link.onFailure(reply)
+            else -> {
+                link.onFailure(reply)
+                duty.onStoreAway(clock())
+            }
         }
         return reply is StoreReply.Lease
     }
@@ -88,8 +98,12 @@
         val counted = EntryShare.of(self, listing.values.mapNotNull(::entry).toMap())
         if (counted != share) logEvent("membership", "entries-counted", "entries" to counted.entries)
         share = counted
-        val holder = listing.values.firstOrNull { it.key == DUTY }?.value?.decodeToString()
-        if (holder == null) claimDuty() else noteHolder(holder == self.value)
+        val holder = listing.values.firstOrNull { it.key == DUTY }
+        if (holder == null) {
+            claimDuty()
+        } else {
+            noteHolder(holder.createRevision.value.takeIf { holder.value.decodeToString() == self.value })
+        }
     }
 
     private fun entry(value: StoredValue): Pair<InstanceId, PeerAddress>? {
@@ -102,20 +116,21 @@
 
     private suspend fun claimDuty() {
         val put = StoreCommand.Put(DUTY, self.value.encodeToByteArray(), StoreRevision(0), lease)
-        noteHolder(store(put) is StoreReply.Written)
+        noteHolder((store(put) as? StoreReply.Written)?.revision?.value)
     }
 
-    private fun noteHolder(isSelf: Boolean) {
-        if (isSelf != holdsDuty) logEvent("membership", if (isSelf) "duty-taken" else "duty-lost", "duty" to DUTY)
-        holdsDuty = isSelf
+    private fun noteHolder(term: Long?) {
+        if ((term != null) != (duty.term != null)) {
+            logEvent("membership", if (term != null) "duty-taken" else "duty-lost", "duty" to DUTY, "term" to term)
+        }
+        duty.onHolder(term)
     }
 
     private fun dropLease(reason: String) {
         logEvent("membership", "lease-lost", "lease" to lease, "reason" to reason)
         lease = null
-        leaseEnds = null
         isRegistered = false
-        noteHolder(false)
+        noteHolder(null)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -30,6 +30,7 @@
     private var failedConnects = 0
     private var isOver = false
     private var isNextSendPaid = false
+    private var waitingSince: Moment? = null
     private val unreachable = HashSet<InstanceId>()
 
     /** Sends the request for the first time. */
@@ -57,6 +58,7 @@
     private fun sendNext() {
         val target = targets.choose(history.tried + unreachable)
         if (target == null) return onNoTarget()
+        waitingSince = null
         val next = Attempt(target)
         attempt = next
         next.begin()
@@ -64,8 +66,10 @@
 
     /** Waits for room as long as the answer can still begin in time, then refuses. */
     private fun onNoTarget() {
-        val waited = context.clock() - call.caller.receivedAt
-        if (waited >= minOf(call.route.target * WAITED_TARGETS, LONGEST_WAIT_FOR_ROOM)) finish(noTarget())
+        val now = context.clock()
+        val since = waitingSince ?: now.also { waitingSince = it }
+        val limit = if (answer.hasBegun) LONGEST_PAUSE else minOf(call.route.target * WAITED_TARGETS, LONGEST_WAIT)
+        if (now - since >= limit) finish(noTarget())
     }
 
     private fun onNotConnected(ended: Attempt, detail: String) {
@@ -211,7 +215,7 @@
             if (target.path.isEmpty()) return onPlainSilence(now)
             context.stalls.run(target) {
                 val later = context.clock()
-                if (attempt === this && !isRedirecting && exchange.isVerySilent(later)) {
+                if (attempt === this && !isRedirecting && !answer.hasBegun && exchange.isVerySilent(later)) {
                     failIfRepeatable("no event for ${exchange.silence(later)}")
                 }
             }
@@ -292,7 +296,10 @@
 
         /** An answer that begins after its objective is worth less, but more than none. */
         const val WAITED_TARGETS = 1.5
-        val LONGEST_WAIT_FOR_ROOM = 800.milliseconds
+        val LONGEST_WAIT = 800.milliseconds
+
+        /** Callers leave a stream that pauses for two seconds. */
+        val LONGEST_PAUSE = 1_200.milliseconds
 
         /** A silent answer is looked into this often. */
         val INVESTIGATION_PAUSE = 400.milliseconds
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -9,6 +9,7 @@
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.gateway.follow.EntryShare
+import io.mimosatrail.gateway.gossip.WordBoard
 import io.mimosatrail.gateway.net.ConnectionPool
 import io.mimosatrail.gateway.wire.EngineControl
 import io.mimosatrail.gateway.wire.HeaderDialect
@@ -23,6 +24,7 @@
     val registry: UpstreamRegistry,
     val traffic: UpstreamTraffic,
     val peerLoads: PeerLoads,
+    val words: WordBoard,
     val retries: RetryBudgets,
     val engines: EngineControl,
     val share: () -> EntryShare,
@@ -32,5 +34,6 @@
 ) {
     val balancer = PlainBalancer(traffic, place)
     val pipes = PipeBudget()
+    val refusals = RefusalWatch(registry, traffic, engines, words, clock, scope)
     val stalls = StallSearch(engines, traffic, clock, scope, inFlight::onEngineDown)
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RefusalWatch.kt
@@ -0,0 +1,51 @@
+package io.mimosatrail.gateway.forward
+
+import io.mimosatrail.core.balance.UpstreamTraffic
+import io.mimosatrail.core.front.FrontService
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.registry.UpstreamRegistry
+import io.mimosatrail.core.send.SendEnd
+import io.mimosatrail.core.time.Clock
+import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.gossip.WordBoard
+import io.mimosatrail.gateway.wire.EngineControl
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlin.time.Duration.Companion.seconds
+
+/** Learns from refusals: an upstream that lost its layers is not used for them, one that keeps refusing may be leaving. */
+internal class RefusalWatch(
+    private val registry: UpstreamRegistry,
+    private val traffic: UpstreamTraffic,
+    private val engines: EngineControl,
+    private val words: WordBoard,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    private val checked = HashMap<InstanceId, Moment>()
+
+    /** Notes that [id] refused a request of [service], or its part of one. */
+    fun onRefused(id: InstanceId, service: FrontService, end: SendEnd) {
+        val now = clock()
+        val record = registry[id] ?: return
+        traffic.onRefusal(id, now)
+        if (end == SendEnd.MISDIRECTED) {
+            if (record.layers != null) words.onSeen(record, layers = null, isDraining = record.isDraining)
+            return
+        }
+        val isDue = checked[id]?.let { now - it >= CHECK_PAUSE } ?: true
+        if (record.isDraining || !isDue || traffic[id].refusals < REFUSALS_TO_CHECK) return
+        checked[id] = now
+        scope.launch {
+            if (engines.isLeaving(record, service.healthPath)) {
+                words.onSeen(record, record.layers, isDraining = true)
+            }
+        }
+    }
+
+    private companion object {
+        /** One refusal may be for want of memory; a second in a row makes it worth a question. */
+        const val REFUSALS_TO_CHECK = 2
+        val CHECK_PAUSE = 1.seconds
+    }
+}
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -37,7 +37,7 @@
 
     override fun redirect(current: Target): Target? {
         val records = context.registry.of(call.service.id)
-        val engines = view.rows(records, emptySet(), context.share().entries, context.clock())
+        val engines = view.rows(records, setOf(current.upstream.id), context.share().entries, context.clock())
         val demand = demand()
         val path = search.best(engines, demand, current.path.first()) ?: return null
         noteCrossings(path.parts, demand)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -125,7 +125,7 @@
         refusal = if (status == HttpResponseStatus.MISDIRECTED_REQUEST) SendEnd.MISDIRECTED else SendEnd.REJECTED
         val at = fields.faultAt?.let { fault -> target.path.firstOrNull { it.engine.address == fault } }
         val refusing = at?.engine?.id ?: target.upstream.id
-        context.traffic.onRefusal(refusing, context.clock())
+        context.refusals.onRefused(refusing, call.service, refusal)
         logProblem(
             "forward",
             "upstream-refused",
@@ -176,6 +176,7 @@
 
     private fun complete(hasFailed: Boolean = false, pass: () -> Unit) {
         context.traffic.onAnswer(target.upstream.id, hasFailed, context.clock())
+        context.traffic.onWorked(target.members)
         pass()
         owner.onComplete()
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -33,9 +33,10 @@
     private val traffic: UpstreamTraffic,
     private val loads: PeerLoads,
     private val peers: () -> List<PeerAddress>,
-    private val placed: () -> List<PlacedEngine>,
+    private val words: WordBoard,
+    private val duty: () -> Long?,
     private val onDown: (InstanceId) -> Unit,
-    private val onPlaced: (PlacedEngine) -> Unit,
+    private val onHeard: (InstanceId, Long?) -> Unit,
     private val loop: EventLoop,
     private val clock: Clock,
 ) {
@@ -59,7 +60,9 @@
         val open = channel ?: return
         val all = peers()
         if (all.isEmpty()) return
-        val bytes = Cbor.encodeToByteArray(LoadMessage(self, ++number, traffic.loads(), traffic.foundDown(now), placed()))
+        val message =
+            LoadMessage(self, ++number, traffic.loads(), traffic.foundDown(now), words.toTell(), duty())
+        val bytes = Cbor.encodeToByteArray(message)
         repeat(minOf(PEERS_AT_A_TIME, all.size)) {
             val peer = all[nextPeer++ % all.size]
             open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(peer.host, peer.port)))
@@ -70,7 +73,8 @@
     private fun onMessage(message: LoadMessage) {
         val now = clock()
         loads.onTold(message.from, message.number, message.loads, now)
-        message.placed.forEach(onPlaced)
+        onHeard(message.from, message.duty)
+        message.seen.forEach(words::onTold)
         for (engine in message.down) {
             if (traffic.onToldDown(engine, now)) onDown(engine)
         }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
@@ -6,8 +6,9 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What one entry tells the others: its [loads], the engines that it has just found to be [down] itself, and those that
- * it has just [placed]. [number] grows with each message of one life of the entry.
+ * What one entry tells the others: its [loads], the engines that it has just found to be [down] itself, and what it has
+ * [seen] of upstreams before the registry shows it. [duty] is the term of the placement duty while it holds that.
+ * [number] grows with each message of one life of the entry.
  */
 @Serializable
 internal data class LoadMessage(
@@ -15,9 +16,15 @@
     val number: Long,
     val loads: List<EngineLoad>,
     val down: List<InstanceId>,
-    val placed: List<PlacedEngine> = emptyList(),
+    val seen: List<ToldUpstream> = emptyList(),
+    val duty: Long? = null,
 )
 
-/** An engine that serves [layers] since an order of the teller, null for none. */
+/** An upstream as the teller saw it: the [layers] that it serves, null for none, and whether it is draining. */
 @Serializable
-internal data class PlacedEngine(val engine: InstanceId, val startedMillis: Long, val layers: LayerRange?)
+internal data class ToldUpstream(
+    val engine: InstanceId,
+    val startedMillis: Long,
+    val layers: LayerRange?,
+    val isDraining: Boolean,
+)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
@@ -12,6 +12,9 @@
     /** What the engine says of itself, or null where it does not answer. */
     suspend fun report(engine: UpstreamRecord): EngineReport?
 
+    /** True where the upstream says on [healthPath] that it is leaving or not healthy. */
+    suspend fun isLeaving(upstream: UpstreamRecord, healthPath: String): Boolean
+
     /**
      * Orders the engine to hold [layers], if [orders] is still the number of orders it has accepted. An order without
      * an answer may take effect later.
