--- a/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
@@ -18,12 +18,7 @@
     private val profile: EngineProfile,
 ) {
     /** Rows for [records], without those in [excluded], where [entries] entries are at work. */
-    fun rows(
-        records: List<UpstreamRecord>,
-        excluded: Set<InstanceId>,
-        entries: Int,
-        now: Moment,
-    ): List<PathEngine> {
+    fun rows(records: List<UpstreamRecord>, excluded: Set<InstanceId>, entries: Int, now: Moment): List<PathEngine> {
         val unheard = (entries.toDouble() / (1 + peers.heard(now))).coerceIn(1.0, MOST_UNHEARD)
         return records.mapNotNull { record ->
             if (record.isDraining || record.id in excluded) null else row(record, unheard, now)
--- a/core/src/main/kotlin/io/mimosatrail/core/front/FrontConfiguration.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/front/FrontConfiguration.kt
@@ -57,12 +57,7 @@
  * [maxConnections] is the number of connections that one upstream accepts from all entries together. [healthPath] tells
  * whether it is healthy and not leaving. [engine] is null for a plain service.
  */
-data class FrontService(
-    val id: ServiceId,
-    val maxConnections: Int,
-    val healthPath: String,
-    val engine: EngineProfile?,
-)
+data class FrontService(val id: ServiceId, val maxConnections: Int, val healthPath: String, val engine: EngineProfile?)
 
 /** Bounds on what a caller may send, and on how long it may take or stay idle. Sizes are in bytes. */
 data class FrontLimits(
--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathSearch.kt
@@ -98,8 +98,7 @@
     }
 
     private class Step(val millis: Double, val part: PathPart?, val before: Step?) {
-        fun parts(): List<PathPart> =
-            generateSequence(this) { it.before }.mapNotNull { it.part }.toList().asReversed()
+        fun parts(): List<PathPart> = generateSequence(this) { it.before }.mapNotNull { it.part }.toList().asReversed()
     }
 }
 
--- /dev/null
+++ b/core/src/test/kotlin/io/mimosatrail/core/balance/UpstreamTrafficTest.kt
@@ -0,0 +1,124 @@
+package io.mimosatrail.core.balance
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.AcceleratorKind
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.id.ServiceId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.pipeline.LayerRange
+import io.mimosatrail.core.placement.siteProfile
+import io.mimosatrail.core.registry.RegistryChange
+import io.mimosatrail.core.registry.UpstreamRecord
+import io.mimosatrail.core.time.Moment
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val a = InstanceId("a")
+private val start = Moment(0)
+
+private fun record(id: String, place: String = "umea", isDraining: Boolean = false, startedMillis: Long = 1) =
+    UpstreamRecord(
+        id = InstanceId(id),
+        service = ServiceId("s"),
+        address = PeerAddress(id, 80),
+        place = PlaceId(place),
+        isDraining = isDraining,
+        slots = 6,
+        startedMillis = startedMillis,
+        kind = AcceleratorKind("l4"),
+        layers = LayerRange(0, 9),
+    )
+
+private fun load(sequences: Int) = listOf(EngineLoad(a, sequences, sequences * 1_000L))
+
+class UpstreamTrafficTest :
+    FunSpec({
+        test("pauses double with refusals in a row and end with work") {
+            val traffic = UpstreamTraffic()
+            traffic.onRefusal(a, start)
+            traffic[a].isAvoided(start + 399.milliseconds) shouldBe true
+            traffic[a].isAvoided(start + 401.milliseconds) shouldBe false
+            traffic.onRefusal(a, start + 1.seconds)
+            traffic[a].isAvoided(start + 1_799.milliseconds) shouldBe true
+            traffic.onWorked(listOf(a))
+            traffic.onRefusal(a, start + 10.seconds)
+            traffic[a].isAvoided(start + 10_401.milliseconds) shouldBe false
+        }
+
+        test("refusals of requests that were under way together count as one") {
+            val traffic = UpstreamTraffic()
+            repeat(20) { traffic.onRefusal(a, start) }
+            traffic[a].refusals shouldBe 1
+        }
+
+        test("a new life of an upstream starts without a past") {
+            val traffic = UpstreamTraffic()
+            traffic.onSilence(a, start)
+            traffic[a].isSilent(start) shouldBe true
+            traffic.onRegistry(listOf(RegistryChange(a, record("a"), record("a", startedMillis = 2))))
+            traffic[a].isAvoided(start) shouldBe false
+        }
+
+        test("hearsay of a dead engine is believed for a while and not passed on") {
+            val traffic = UpstreamTraffic()
+            traffic.onToldDown(a, start) shouldBe true
+            traffic.onToldDown(a, start) shouldBe false
+            traffic[a].isSilent(start) shouldBe true
+            traffic.foundDown(start).shouldBeEmpty()
+            traffic[a].isSilent(start + 1.seconds) shouldBe false
+        }
+
+        context("the load that the others told counts until it is old") {
+            data class Case(val after: Int, val sequences: Int)
+            withData(nameFn = { "$it" }, Case(0, 7), Case(1_500, 7), Case(1_700, 0)) { case ->
+                val loads = PeerLoads()
+                loads.onTold(InstanceId("e1"), 1, load(3), start)
+                loads.onTold(InstanceId("e2"), 1, load(4), start)
+                loads.at(a, start + case.after.milliseconds).sequences shouldBe case.sequences
+            }
+        }
+
+        test("a message that was overtaken changes nothing") {
+            val loads = PeerLoads()
+            loads.onTold(InstanceId("e1"), 2, load(3), start)
+            loads.onTold(InstanceId("e1"), 1, load(9), start)
+            loads.at(a, start).sequences shouldBe 3
+        }
+
+        test("entries that were not heard are taken to have as much as the others, within bounds") {
+            val traffic = UpstreamTraffic()
+            val loads = PeerLoads()
+            loads.onTold(InstanceId("e1"), 1, load(10), start)
+            val view = EngineView(traffic, loads, siteProfile)
+            view.rows(listOf(record("a")), emptySet(), entries = 2, start).single().sequences shouldBe 10.0
+            view.rows(listOf(record("a")), emptySet(), entries = 3, start).single().sequences shouldBe 15.0
+            view.rows(listOf(record("a")), emptySet(), entries = 40, start).single().sequences shouldBe 20.0
+        }
+
+        test("plain calls go to the least loaded upstream near by, never to a draining one") {
+            val traffic = UpstreamTraffic()
+            val balancer = PlainBalancer(traffic, PlaceId("umea"))
+            val upstreams = listOf(record("a"), record("b", place = "kiruna"), record("c", isDraining = true))
+            fun choose(tried: Set<InstanceId> = emptySet()) = balancer.choose(upstreams, tried, start)?.id?.value
+            choose() shouldBe "a"
+            repeat(2) { traffic.onStart(a) }
+            choose() shouldBe "b"
+            traffic.onSilence(InstanceId("b"), start)
+            choose() shouldBe "a"
+            choose(tried = setOf(a)) shouldBe "b"
+            choose(tried = setOf(a, InstanceId("b"))) shouldBe null
+        }
+
+        test("a draining or avoided engine is no part of a path") {
+            val traffic = UpstreamTraffic()
+            traffic.onRefusal(InstanceId("b"), start)
+            val records = listOf(record("a"), record("b"), record("c", isDraining = true))
+            EngineView(traffic, PeerLoads(), siteProfile).rows(records, emptySet(), 1, start)
+                .map { it.id.value } shouldContainExactly listOf("a")
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/mimosatrail/core/path/PathSearchTest.kt
@@ -0,0 +1,123 @@
+package io.mimosatrail.core.path
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.pipeline.LayerRange
+import io.mimosatrail.core.pipeline.covers
+import io.mimosatrail.core.placement.PlacementPlanner
+import io.mimosatrail.core.placement.PlacementSettings
+import io.mimosatrail.core.placement.siteFleet
+import io.mimosatrail.core.placement.siteProfile
+import kotlin.random.Random
+
+private const val SEED = 20_261_204
+private const val SEARCHES = 300
+
+private val umea = PlaceId("umea")
+private val usual = PathDemand(promptTokens = 772, outputTokens = 172, place = umea)
+
+private fun engines(without: Set<String> = emptySet(), used: (InstanceId) -> Double = { 0.0 }): List<PathEngine> {
+    val plan = PlacementPlanner(siteProfile, PlacementSettings()).plan(siteFleet())
+    return siteFleet().filter { it.id.value !in without }.mapNotNull { engine ->
+        val layers = plan[engine.id] ?: return@mapNotNull null
+        val room = siteProfile.tokenRoom(engine.accelerator, layers.size).toDouble() * layers.size
+        PathEngine(
+            id = engine.id,
+            address = PeerAddress(engine.id.value, 80),
+            place = engine.place,
+            accelerator = engine.accelerator,
+            layers = layers,
+            sequences = 0.0,
+            tokenLayers = room * used(engine.id),
+            room = room,
+            slowness = 1.0,
+        )
+    }
+}
+
+private fun EnginePath.places() = parts.map { it.engine.place }.distinct()
+
+private fun EnginePath.isWhole() = parts.map { it.layers }.covers(siteProfile.layers) &&
+    parts.all { it.layers intersect it.engine.layers == it.layers } &&
+    parts.distinctBy { it.engine.id }.size == parts.size
+
+class PathSearchTest :
+    FunSpec({
+        test("a calm fleet serves a stream within the place it is asked from") {
+            for (place in listOf("lulea", "umea", "kiruna").map(::PlaceId)) {
+                val path = PathSearch(siteProfile).best(engines(), usual.copy(place = place)).shouldNotBeNull()
+                path.isWhole() shouldBe true
+                path.places() shouldContainExactly listOf(place)
+            }
+        }
+
+        test("a path never leads over an engine without room") {
+            val full = setOf("umea-a100s-1", "umea-l4-2")
+            val path = PathSearch(siteProfile).best(
+                engines {
+                    if (it.value in
+                        full
+                    ) {
+                        1.2
+                    } else {
+                        0.3
+                    }
+                },
+                usual,
+            ).shouldNotBeNull()
+            path.parts.map { it.engine.id.value }.filter { it in full }.shouldBeEmpty()
+        }
+
+        test("a place whose engines are full sends its streams to another place as a whole") {
+            val path = PathSearch(siteProfile, mayCross = { _, _ -> false })
+                .best(engines { if (it.value.startsWith("umea")) 1.2 else 0.0 }, usual).shouldNotBeNull()
+            path.places().size shouldBe 1
+        }
+
+        test("a slow engine is avoided where another holds its layers") {
+            val calm = PathSearch(siteProfile).best(engines(), usual).shouldNotBeNull()
+            val slowed = calm.parts.first { part ->
+                engines().count { it.place == umea && it.layers intersect part.layers != null } > 1
+            }.engine.id
+            val rows = engines().map { if (it.id == slowed) it.copy(slowness = 50.0) else it }
+            val path = PathSearch(siteProfile).best(rows, usual).shouldNotBeNull()
+            val ownShare = path.parts.filter { it.engine.id == slowed }.sumOf { it.layers.size }
+            val calmShare = calm.parts.first { it.engine.id == slowed }.layers.size
+            ownShare.toDouble() shouldBeLessThan calmShare.toDouble()
+        }
+
+        test("a stream under way keeps its first part") {
+            val first = PathSearch(siteProfile).best(engines(), usual).shouldNotBeNull().parts.first()
+            val lost = PathSearch(siteProfile).best(engines(), usual).shouldNotBeNull().parts[1].engine.id
+            val rows = engines().filter { it.id != lost && it.id != first.engine.id }
+            val path = PathSearch(siteProfile).best(rows, usual, first).shouldNotBeNull()
+            path.parts.first() shouldBe first
+            path.isWhole() shouldBe true
+        }
+
+        test("where a layer has no holder there is no path") {
+            PathSearch(siteProfile).best(engines().filter { it.layers intersect LayerRange(40, 41) == null }, usual)
+                .shouldBeNull()
+        }
+
+        test("any path found on a random fleet runs every layer once, in order, on engines that hold them") {
+            val random = Random(SEED)
+            repeat(SEARCHES) { number ->
+                withClue("seed $SEED, search $number") {
+                    val rows = engines { random.nextDouble(1.3) }.filter { random.nextInt(8) > 0 }
+                        .map { it.copy(slowness = 1 + random.nextDouble(6.0), sequences = random.nextDouble(80.0)) }
+                    val demand = PathDemand(random.nextInt(1, 2_280), random.nextInt(1, 430), umea)
+                    PathSearch(siteProfile).best(rows, demand)?.let { it.isWhole() shouldBe true }
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/mimosatrail/core/path/PipeBudgetTest.kt
@@ -0,0 +1,37 @@
+package io.mimosatrail.core.path
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.time.Moment
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val lulea = PlaceId("lulea")
+private val umea = PlaceId("umea")
+private const val RATE = 1_000_000.0
+
+class PipeBudgetTest :
+    FunSpec({
+        test("streams that cross all the time use a quarter of the pipe, shared by the entries") {
+            val budget = PipeBudget()
+            var sent = 0.0
+            for (millis in 0 until 20_000 step 10) {
+                if (budget.mayCross(lulea, umea, RATE, entries = 4, Moment(0) + millis.milliseconds)) {
+                    budget.take(lulea, umea, 5_000.0)
+                    sent += 5_000.0
+                }
+            }
+            sent / 20 shouldBeLessThan RATE / 4 / 4 * 1.1
+        }
+
+        test("each direction has a budget of its own") {
+            val budget = PipeBudget()
+            budget.mayCross(lulea, umea, RATE, 1, Moment(0)) shouldBe true
+            budget.take(lulea, umea, RATE)
+            budget.mayCross(lulea, umea, RATE, 1, Moment(0)) shouldBe false
+            budget.mayCross(umea, lulea, RATE, 1, Moment(0)) shouldBe true
+            budget.mayCross(lulea, umea, RATE, 1, Moment(0) + 4.seconds) shouldBe true
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/mimosatrail/core/placement/PlacementPlannerTest.kt
@@ -0,0 +1,111 @@
+package io.mimosatrail.core.placement
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.pipeline.LayerRange
+import kotlin.random.Random
+
+private const val SEED = 20_261_204
+private const val FLEETS = 200
+
+private val planner = PlacementPlanner(siteProfile, PlacementSettings())
+
+private fun List<PlannedEngine>.holding(plan: Map<InstanceId, LayerRange>) = map { it.copy(held = plan[it.id]) }
+
+private fun uncovered(engines: List<PlannedEngine>, plan: Map<InstanceId, LayerRange>): List<Int> =
+    (0 until siteProfile.layers).filter { layer ->
+        engines.none { engine -> plan[engine.id]?.let { layer >= it.first && layer < it.end } ?: false }
+    }
+
+private fun overfilled(engines: List<PlannedEngine>, plan: Map<InstanceId, LayerRange>) = engines.filter { engine ->
+    (plan[engine.id]?.size ?: 0) * siteProfile.layerMegabytes > engine.accelerator.memoryMegabytes
+}
+
+private fun roomOf(engines: List<PlannedEngine>, plan: Map<InstanceId, LayerRange>) = engines.minOf { engine ->
+    siteProfile.tokenRoom(engine.accelerator, plan[engine.id]?.size ?: 1)
+}
+
+private fun moves(engines: List<PlannedEngine>, plan: Map<InstanceId, LayerRange>) =
+    engines.count { it.held != plan[it.id] }
+
+class PlacementPlannerTest :
+    FunSpec({
+        test("each place of a site holds the whole model, with room for 40,000 tokens on each engine") {
+            val plan = planner.plan(siteFleet())
+            siteFleet().groupBy { it.place }.values.forEach { uncovered(it, plan).shouldBeEmpty() }
+            overfilled(siteFleet(), plan).shouldBeEmpty()
+            roomOf(siteFleet(), plan) shouldBeGreaterThanOrEqual 40_000
+        }
+
+        test("the plan depends neither on the order of the engines nor on chance") {
+            planner.plan(siteFleet().shuffled(Random(SEED))) shouldBe planner.plan(siteFleet())
+        }
+
+        test("a standing plan is kept") {
+            val plan = planner.plan(siteFleet())
+            planner.plan(siteFleet().holding(plan)) shouldBe plan
+        }
+
+        context("the layers of a lost engine are taken over by few others of its place") {
+            withData(nameFn = { "$it" }, siteFleet().map { it.id.value }) { lost ->
+                val plan = planner.plan(siteFleet())
+                val left = siteFleet().filter { it.id.value != lost }.holding(plan)
+                val next = planner.plan(left)
+                val place = siteFleet().first { it.id.value == lost }.place
+                uncovered(left.filter { it.place == place }, next).shouldBeEmpty()
+                overfilled(left, next).shouldBeEmpty()
+                moves(left, next) shouldBeLessThanOrEqual 5
+            }
+        }
+
+        test("an engine that joins empty is used and moves no other") {
+            val plan = planner.plan(siteFleet())
+            val joined = PlannedEngine(InstanceId("new"), PlaceId("umea"), siteFleet().first().accelerator, held = null)
+            val engines = siteFleet().holding(plan) + joined
+            moves(engines, planner.plan(engines)) shouldBe 1
+        }
+
+        test("places that are too small for the model form one group") {
+            val engines = siteFleet().map { it.copy(place = PlaceId("${it.place}-${it.id.value.last()}")) }
+            val plan = planner.plan(engines)
+            uncovered(engines, plan).shouldBeEmpty()
+        }
+
+        test("random fleets with losses and joins are covered wherever they can be, and never overfilled") {
+            val random = Random(SEED)
+            repeat(FLEETS) { number ->
+                withClue("seed $SEED, fleet $number") {
+                    var engines = siteFleet()
+                    repeat(6) {
+                        engines = engines.holding(planner.plan(engines))
+                        overfilled(engines, engines.associateHeld()).shouldBeEmpty()
+                        if (engines.groupBy { it.place }.values.any(::holdsModel)) {
+                            uncovered(engines, engines.associateHeld()).shouldBeEmpty()
+                        }
+                        engines = engines.change(random)
+                    }
+                }
+            }
+        }
+    })
+
+private fun List<PlannedEngine>.associateHeld(): Map<InstanceId, LayerRange> =
+    mapNotNull { engine -> engine.held?.let { engine.id to it } }.toMap()
+
+private fun holdsModel(group: List<PlannedEngine>) =
+    group.sumOf { siteProfile.layersWithRoom(it.accelerator, PlacementSettings().mostTokens) } >= siteProfile.layers
+
+private fun List<PlannedEngine>.change(random: Random): List<PlannedEngine> = mapNotNull { engine ->
+    when (random.nextInt(12)) {
+        0 -> null
+        1 -> engine.copy(held = null)
+        else -> engine
+    }
+}
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -3,7 +3,6 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
-import io.mimosatrail.core.front.FrontConfiguration
 import io.mimosatrail.core.front.FrontLimits
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
@@ -175,8 +174,7 @@
 
     private fun limits(): FrontLimits = followed.current?.limits ?: DEFAULT_LIMITS
 
-    private fun isReady(): Boolean =
-        !isStopping && followed.current != null && registry.all.any { !it.isDraining }
+    private fun isReady(): Boolean = !isStopping && followed.current != null && registry.all.any { !it.isDraining }
 
     private fun logReadiness() {
         val isReady = isReady()
@@ -192,7 +190,13 @@
     private fun serveReady(caller: Caller) {
         val isMetrics = caller.request.uri().startsWith(METRICS_PATH)
         val status = if (isMetrics || isReady()) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
-        val body = if (isMetrics) scrape() else if (isReady()) "ready\n" else "not ready\n"
+        val body = if (isMetrics) {
+            scrape()
+        } else if (isReady()) {
+            "ready\n"
+        } else {
+            "not ready\n"
+        }
         val headers = DefaultHttpHeaders(false).add("content-type", "text/plain; charset=utf-8")
         caller.answer(status, headers, Unpooled.wrappedBuffer(body.toByteArray()))
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/duty/PlacementDuty.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/duty/PlacementDuty.kt
@@ -168,7 +168,9 @@
         val byId = records.associateBy { it.id }
         orders.entries.removeIf { (id, order) ->
             val record = byId[id]
-            record == null || record.layers == order.layers || record.startedMillis != order.startedMillis ||
+            record == null ||
+                record.layers == order.layers ||
+                record.startedMillis != order.startedMillis ||
                 now >= order.until
         }
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -2,8 +2,8 @@
 
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.LeaseId
-import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreKey
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerAnswer.kt
@@ -95,7 +95,6 @@
     }
 }
 
-private fun HttpHeaders.withoutConnectionFields(): HttpHeaders =
-    DefaultHttpHeaders(false).also { copy ->
-        forEach { (name, value) -> if (!isConnectionField(name)) copy.add(name, value) }
-    }
+private fun HttpHeaders.withoutConnectionFields(): HttpHeaders = DefaultHttpHeaders(false).also { copy ->
+    forEach { (name, value) -> if (!isConnectionField(name)) copy.add(name, value) }
+}
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
@@ -57,7 +57,13 @@
         var line = start
         while (line < end) {
             val next = (line until end).firstOrNull { rest[it] == LINE_FEED } ?: end
-            if (isIdField(line, next)) return String(rest, line + ID_FIELD.size, next - line - ID_FIELD.size).trim().toLongOrNull()
+            if (isIdField(
+                    line,
+                    next,
+                )
+            ) {
+                return String(rest, line + ID_FIELD.size, next - line - ID_FIELD.size).trim().toLongOrNull()
+            }
             line = next + 1
         }
         return null
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -47,7 +47,11 @@
         if (isOver) return
         if (now >= call.giveUpAt) return giveUp()
         val pending = attempt
-        if (pending == null) sendNext() else if (pending.isSilent(now)) pending.investigate(now)
+        if (pending == null) {
+            sendNext()
+        } else if (pending.isSilent(now)) {
+            pending.investigate(now)
+        }
     }
 
     /** Leads the stream around [engine], which is down. */
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
@@ -44,14 +44,24 @@
         if (current == null) return refuse(caller, fields, notReady("no configuration has been read yet"))
         if (isStopping()) return refuse(caller, fields, notReady("this entry is stopping"))
         when (val decision = current.decide(host(caller), path(caller), fields.key)) {
-            RouteDecision.NoRoute -> refuse(caller, fields, denied(RefusalReason.NOT_FOUND, "no route matches"), current)
+            RouteDecision.NoRoute -> refuse(
+                caller,
+                fields,
+                denied(RefusalReason.NOT_FOUND, "no route matches"),
+                current,
+            )
             RouteDecision.UnknownKey ->
                 refuse(caller, fields, denied(RefusalReason.UNAUTHENTICATED, "the key is not known"), current)
             is RouteDecision.Routed -> forward(caller, fields, decision, current)
         }
     }
 
-    private fun forward(caller: Caller, fields: CallFields, decision: RouteDecision.Routed, current: FrontConfiguration) {
+    private fun forward(
+        caller: Caller,
+        fields: CallFields,
+        decision: RouteDecision.Routed,
+        current: FrontConfiguration,
+    ) {
         val id = decision.route.service(random.nextDouble())
         val service = current.services[id]
         if (service == null) return refuse(caller, fields, notReady("service $id is not configured"), current)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/log/EventLog.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/log/EventLog.kt
@@ -24,6 +24,13 @@
         if (value == null) continue
         val text = value.toString()
         append(' ').append(name).append('=')
-        if (text.any { it == ' ' || it == '"' }) append('"').append(text.replace('"', '\'')).append('"') else append(text)
+        if (text.any {
+                it == ' ' || it == '"'
+            }
+        ) {
+            append('"').append(text.replace('"', '\'')).append('"')
+        } else {
+            append(text)
+        }
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ConnectionPool.kt
@@ -90,7 +90,9 @@
         bootstrap.clone().handler(initializer(connection)).connect(key.address.host, key.address.port)
             .addListener { future ->
                 if (!future.isSuccess) target.open--
-                ready(if (future.isSuccess) Lease.Ready(connection) else Lease.Failed(describe(future as ChannelFuture)))
+                ready(
+                    if (future.isSuccess) Lease.Ready(connection) else Lease.Failed(describe(future as ChannelFuture)),
+                )
             }
     }
 
@@ -100,8 +102,7 @@
         }
     }
 
-    private fun describe(future: ChannelFuture): String =
-        "no connection: ${future.cause()?.message ?: "cancelled"}"
+    private fun describe(future: ChannelFuture): String = "no connection: ${future.cause()?.message ?: "cancelled"}"
 
     private companion object {
         /** A connection within a region takes a few milliseconds; a lost first packet is sent again after a second. */
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlCalls.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlCalls.kt
@@ -42,8 +42,7 @@
         return withTimeoutOrNull(timeout) { limit(call).withPermit { exchange.run() } } ?: exchange.onTimeout(timeout)
     }
 
-    private fun limit(call: ControlCall): Semaphore =
-        limits.getOrPut(call.address) { Semaphore(MOST_CONNECTIONS) }
+    private fun limit(call: ControlCall): Semaphore = limits.getOrPut(call.address) { Semaphore(MOST_CONNECTIONS) }
 
     private inner class Exchange(private val call: ControlCall) : AnswerListener {
         private var connection: UpstreamConnection? = null
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/UpstreamConnection.kt
@@ -102,7 +102,12 @@
     }
 
     private fun onHead(response: HttpResponse) {
-        if (response.decoderResult().isFailure) return fail(SendEnd.GARBLED, "the upstream sent bytes that are no answer")
+        if (response.decoderResult().isFailure) {
+            return fail(
+                SendEnd.GARBLED,
+                "the upstream sent bytes that are no answer",
+            )
+        }
         if (listener == null) return close()
         isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isInterim) return
