Improve the weakest layers of a standing plan, learn an engine's room

Change: the planner changes ranges while the cost of the weakest layers falls by a tenth, two engines a group at a time, in-use engines last; a refusal for want of room lowers the room that is assumed for 4 s.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
@@ -19,12 +19,24 @@
 ) {
     /** Rows for [records], without those in [excluded], where [entries] entries are at work. */
     fun rows(records: List<UpstreamRecord>, excluded: Set<InstanceId>, entries: Int, now: Moment): List<PathEngine> {
-        val unheard = (entries.toDouble() / (1 + peers.heard(now))).coerceIn(1.0, MOST_UNHEARD)
+        val unheard = unheard(entries, now)
         return records.mapNotNull { record ->
             if (record.isDraining || record.id in excluded) null else row(record, unheard, now)
         }
     }
 
+    /** Share of the room of [record] that is taken to be in use, or null where it holds no layers. */
+    fun usedShare(record: UpstreamRecord, entries: Int, now: Moment): Double? {
+        val layers = record.layers ?: return null
+        val accelerator = profile.kinds[record.kind] ?: return null
+        val unheard = unheard(entries, now)
+        val used = (traffic[record.id].tokenLayers + peers.at(record.id, now).tokenLayers) * unheard
+        return used / (profile.tokenRoom(accelerator, layers.size).toDouble() * layers.size)
+    }
+
+    private fun unheard(entries: Int, now: Moment): Double =
+        (entries.toDouble() / (1 + peers.heard(now))).coerceIn(1.0, MOST_UNHEARD)
+
     private fun row(record: UpstreamRecord, unheard: Double, now: Moment): PathEngine? {
         val layers = record.layers ?: return null
         val accelerator = profile.kinds[record.kind] ?: return null
@@ -39,7 +51,7 @@
             layers = layers,
             sequences = (row.sequences + others.sequences) * unheard,
             tokenLayers = (row.tokenLayers + others.tokenLayers) * unheard,
-            room = profile.tokenRoom(accelerator, layers.size).toDouble() * layers.size,
+            room = profile.tokenRoom(accelerator, layers.size).toDouble() * layers.size * row.roomShare(now),
             slowness = row.slowness,
         )
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** What this process has under way at one upstream, and how its last requests went. */
 class TrafficRow {
@@ -11,6 +12,8 @@
     private var avoidedUntil: Moment? = null
     private var toldDownUntil: Moment? = null
     private var foundDownAt: Moment? = null
+    private var learnedShare = 1.0
+    private var learnedAt: Moment? = null
 
     /** Requests that were sent and not yet answered. */
     var outstanding = 0
@@ -44,6 +47,18 @@
     /** True shortly after this process itself found it to be down. */
     internal fun wasFoundDown(now: Moment): Boolean = foundDownAt?.let { now - it < FOUND_DOWN_SPAN } ?: false
 
+    /** Share of its room that it is taken to have, after it refused for want of room not long ago. */
+    fun roomShare(now: Moment): Double {
+        val since = learnedAt?.let { now - it } ?: return 1.0
+        return (learnedShare + (1 - learnedShare) * (since / ROOM_MEMORY)).coerceAtMost(1.0)
+    }
+
+    /** Notes that it had no more room while [usedShare] of its room was taken to be in use. */
+    internal fun onFull(usedShare: Double, now: Moment) {
+        learnedShare = (usedShare * FULL_MARGIN).coerceIn(LEAST_ROOM_SHARE, 1.0)
+        learnedAt = now
+    }
+
     internal fun onStart() {
         outstanding++
     }
@@ -92,6 +107,7 @@
         toldDownUntil = null
         foundDownAt = null
         refusals = 0
+        learnedAt = null
         failureShare = 0.0
         slowness = 1.0
     }
@@ -109,7 +125,14 @@
         /** An engine that gives up layers or is short of memory is asked again after about one answer's time. */
         val REFUSAL_PAUSE: Duration = 400.milliseconds
 
-        /** The pause doubles up to 3.2 s with refusals in a row. */
-        const val MOST_DOUBLINGS = 3
+        /** The pause doubles up to 0.8 s with refusals in a row. */
+        const val MOST_DOUBLINGS = 1
+
+        /** Streams last some seconds; what was learnt of a full engine fades over that time. */
+        val ROOM_MEMORY: Duration = 4.seconds
+
+        /** A full engine is left a little room, so that it is not asked at its very limit. */
+        const val FULL_MARGIN = 0.95
+        const val LEAST_ROOM_SHARE = 0.3
     }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
@@ -39,6 +39,9 @@
     fun loads(): List<EngineLoad> = rows.filter { (_, row) -> row.sequences > 0 }
         .map { (id, row) -> EngineLoad(id, row.sequences, row.tokenLayers) }
 
+    /** Notes that [id] had no more room while [usedShare] of its room was taken to be in use. */
+    fun onFull(id: InstanceId, usedShare: Double, now: Moment) = get(id).onFull(usedShare, now)
+
     /** Notes that each of [ids] took its part of a request. */
     fun onWorked(ids: List<InstanceId>) = ids.forEach { rows[it]?.onWorked() }
 
--- a/core/src/main/kotlin/io/mimosatrail/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/placement/PlacementPlanner.kt
@@ -8,7 +8,7 @@
  *
  * The engines of one place form a group that holds the whole model, so that a stream need not cross places; places
  * that are too small for that form one group together. The plan is a pure function of its inputs. It keeps what
- * engines hold already unless a layer is left without a holder, since loading takes seconds.
+ * engines hold already unless a layer is left without a holder or with little room, since loading takes seconds.
  */
 class PlacementPlanner(private val profile: EngineProfile, private val settings: PlacementSettings) {
     /** The layers for each engine of [engines]; an engine that is missing in the result holds nothing. */
@@ -26,7 +26,7 @@
         val plan = GroupPlan(profile, settings, group, tokensFor(group))
         plan.keepStanding()
         plan.placeEmpty()
-        plan.closeGaps()
+        plan.improve(if (group.all { it.held == null }) Int.MAX_VALUE else settings.changesAtOnce)
         return plan.ranges
     }
 
@@ -47,13 +47,13 @@
 
 /**
  * Aims of the placement, in tokens of KV cache that each engine has room for and in [copies] of each layer in a group.
- * An engine that takes over layers of a lost neighbour keeps room for [widenedTokens] if it can, and for [leastTokens]
- * at any rate.
+ * An engine that takes over layers of a lost neighbour keeps room for [leastTokens] at any rate. A standing plan that
+ * covers all layers is changed in steps of [changesAtOnce] engines a group.
  */
 data class PlacementSettings(
     val copies: Double = 1.3,
     val leastTokens: Int = 4_000,
-    val widenedTokens: Int = 18_000,
+    val changesAtOnce: Int = 2,
     val mostTokens: Int = 120_000,
     val tokenStep: Int = 1_000,
 )
--- a/core/src/test/kotlin/io/mimosatrail/core/placement/PlacementPlannerTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/placement/PlacementPlannerTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
@@ -32,6 +33,14 @@
     siteProfile.tokenRoom(engine.accelerator, plan[engine.id]?.size ?: 1)
 }
 
+private fun weakestLayer(engines: List<PlannedEngine>, plan: Map<InstanceId, LayerRange>): Int =
+    (0 until siteProfile.layers).minOf { layer ->
+        engines.sumOf { engine ->
+            val held = plan[engine.id]
+            if (held == null || layer < held.first || layer >= held.end) 0 else siteProfile.tokenRoom(engine.accelerator, held.size)
+        }
+    }
+
 private fun moves(engines: List<PlannedEngine>, plan: Map<InstanceId, LayerRange>) =
     engines.count { it.held != plan[it.id] }
 
@@ -65,6 +74,18 @@
             }
         }
 
+        test("once a lost engine is replaced, the room of the weakest layer comes back within a few plans") {
+            val plan = planner.plan(siteFleet())
+            val lost = siteFleet().first { it.id.value == "umea-a100s-1" }
+            var engines = siteFleet().filter { it.id != lost.id }.holding(plan)
+            repeat(4) { engines = engines.holding(planner.plan(engines)) }
+            engines = engines + lost.copy(id = InstanceId("umea-a100s-2"))
+            repeat(8) { engines = engines.holding(planner.plan(engines)) }
+            val umea = engines.filter { it.place == lost.place }
+            weakestLayer(umea, umea.associateHeld()).toDouble() shouldBeGreaterThan
+                0.8 * weakestLayer(umea, planner.plan(umea.map { it.copy(held = null) }))
+        }
+
         test("an engine that joins empty is used and moves no other") {
             val plan = planner.plan(siteFleet())
             val joined = PlannedEngine(InstanceId("new"), PlaceId("umea"), siteFleet().first().accelerator, held = null)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -34,6 +34,15 @@
 ) {
     val balancer = PlainBalancer(traffic, place)
     val pipes = PipeBudget()
-    val refusals = RefusalWatch(registry, traffic, engines, words, clock, scope)
+    val refusals = RefusalWatch(
+        registry,
+        traffic,
+        peerLoads,
+        { share().entries },
+        engines,
+        words,
+        clock,
+        scope,
+    )
     val stalls = StallSearch(engines, traffic, clock, scope, inFlight::onEngineDown)
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RefusalWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RefusalWatch.kt
@@ -1,8 +1,11 @@
 package io.mimosatrail.gateway.forward
 
+import io.mimosatrail.core.balance.EngineView
+import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.front.FrontService
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.registry.UpstreamRecord
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.send.SendEnd
 import io.mimosatrail.core.time.Clock
@@ -17,6 +20,8 @@
 internal class RefusalWatch(
     private val registry: UpstreamRegistry,
     private val traffic: UpstreamTraffic,
+    private val peerLoads: PeerLoads,
+    private val entries: () -> Int,
     private val engines: EngineControl,
     private val words: WordBoard,
     private val clock: Clock,
@@ -29,6 +34,7 @@
         val now = clock()
         val record = registry[id] ?: return
         traffic.onRefusal(id, now)
+        if (end == SendEnd.REJECTED) usedShare(record, service, now)?.let { traffic.onFull(id, it, now) }
         if (end == SendEnd.MISDIRECTED) {
             if (record.layers != null) words.onSeen(record, layers = null, isDraining = record.isDraining)
             return
@@ -43,6 +49,9 @@
         }
     }
 
+    private fun usedShare(record: UpstreamRecord, service: FrontService, now: Moment): Double? =
+        service.engine?.let { EngineView(traffic, peerLoads, it).usedShare(record, entries(), now) }
+
     private companion object {
         /** One refusal may be for want of memory; a second in a row makes it worth a question. */
         const val REFUSALS_TO_CHECK = 2
