--- a/bench/src/main/kotlin/io/mimosatrail/bench/capacity/IdleCost.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/capacity/IdleCost.kt
@@ -3,10 +3,10 @@
 import io.mimosatrail.bench.fleet.Fleet
 import io.mimosatrail.bench.run.Bench
 import io.mimosatrail.bench.run.Figure
+import io.mimosatrail.daemon.settings.UpstreamKind
 import io.mimosatrail.logging.LogFormat
 import io.mimosatrail.logging.LogLevel
 import io.mimosatrail.logging.setUpLogging
-import io.mimosatrail.daemon.settings.UpstreamKind
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlin.time.Duration
--- a/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallCluster.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallCluster.kt
@@ -22,12 +22,12 @@
 import io.mimosatrail.daemon.host.Host
 import io.mimosatrail.daemon.host.MessageRouter
 import io.mimosatrail.daemon.sidecar.call.CallOwner
-import io.mimosatrail.store.client.HttpStore
 import io.mimosatrail.protocol.PeerError
 import io.mimosatrail.protocol.PeerMessage
 import io.mimosatrail.protocol.Peers
 import io.mimosatrail.standins.plain.PlainStandin
 import io.mimosatrail.standins.store.StoreStandin
+import io.mimosatrail.store.client.HttpStore
 import io.mimosatrail.upstream.HttpPlainClient
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
--- a/core/src/test/kotlin/io/mimosatrail/core/placement/PlacementPlannerTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/placement/PlacementPlannerTest.kt
@@ -37,7 +37,14 @@
     (0 until siteProfile.layers).minOf { layer ->
         engines.sumOf { engine ->
             val held = plan[engine.id]
-            if (held == null || layer < held.first || layer >= held.end) 0 else siteProfile.tokenRoom(engine.accelerator, held.size)
+            if (held == null ||
+                layer < held.first ||
+                layer >= held.end
+            ) {
+                0
+            } else {
+                siteProfile.tokenRoom(engine.accelerator, held.size)
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
@@ -23,11 +23,11 @@
 import io.mimosatrail.daemon.role.Role
 import io.mimosatrail.daemon.role.SidecarRole
 import io.mimosatrail.daemon.settings.DaemonSettings
-import io.mimosatrail.store.instances.HttpInstanceList
-import io.mimosatrail.store.client.HttpStore
-import io.mimosatrail.store.client.budgetedStore
 import io.mimosatrail.protocol.PeerNode
 import io.mimosatrail.protocol.PeerSettings
+import io.mimosatrail.store.client.HttpStore
+import io.mimosatrail.store.client.budgetedStore
+import io.mimosatrail.store.instances.HttpInstanceList
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigFollower.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigFollower.kt
@@ -17,11 +17,11 @@
 import io.mimosatrail.core.time.TimerService
 import io.mimosatrail.core.time.systemClock
 import io.mimosatrail.daemon.host.MessageRouter
-import io.mimosatrail.store.ticket.LogError
 import io.mimosatrail.protocol.ConfigFetch
 import io.mimosatrail.protocol.ConfigState
 import io.mimosatrail.protocol.Peers
 import io.mimosatrail.protocol.RevisionNotice
+import io.mimosatrail.store.ticket.LogError
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlin.random.Random
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigHistory.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/config/ConfigHistory.kt
@@ -5,9 +5,9 @@
 import io.mimosatrail.core.config.Configuration
 import io.mimosatrail.core.config.follow
 import io.mimosatrail.core.id.ConfigRevision
+import io.mimosatrail.protocol.ConfigState
 import io.mimosatrail.store.ticket.RecordCodec
 import io.mimosatrail.store.ticket.SnapshotCodec
-import io.mimosatrail.protocol.ConfigState
 
 private const val MAX_RECORDS = 100
 
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/main/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/main/DaemonCommand.kt
@@ -11,11 +11,11 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.enum
 import com.github.michaelbull.result.getOrElse
-import io.mimosatrail.logging.LogFormat
-import io.mimosatrail.logging.LogLevel
 import io.mimosatrail.daemon.settings.DaemonSettings
 import io.mimosatrail.daemon.settings.RawSettings
 import io.mimosatrail.daemon.settings.check
+import io.mimosatrail.logging.LogFormat
+import io.mimosatrail.logging.LogLevel
 
 /** Parses the daemon's flags and environment variables and passes checked settings on. */
 internal class DaemonCommand(private val serve: (DaemonSettings, LogFormat, LogLevel) -> Unit) :
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/main/Main.kt
@@ -5,11 +5,11 @@
 import com.github.ajalt.clikt.core.parse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.mimosatrail.daemon.Daemon
+import io.mimosatrail.daemon.settings.DaemonSettings
 import io.mimosatrail.logging.LogFormat
 import io.mimosatrail.logging.LogLevel
 import io.mimosatrail.logging.flushLogging
 import io.mimosatrail.logging.setUpLogging
-import io.mimosatrail.daemon.settings.DaemonSettings
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
 import java.util.concurrent.CountDownLatch
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/config/ConfigFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/config/ConfigFollowerTest.kt
@@ -33,14 +33,14 @@
 import io.mimosatrail.core.time.TimerService
 import io.mimosatrail.core.time.systemClock
 import io.mimosatrail.daemon.host.MessageRouter
-import io.mimosatrail.store.ticket.ConfigKeys
-import io.mimosatrail.store.ticket.RecordCodec
-import io.mimosatrail.store.ticket.SnapshotCodec
 import io.mimosatrail.protocol.ConfigFetch
 import io.mimosatrail.protocol.ConfigState
 import io.mimosatrail.protocol.PeerError
 import io.mimosatrail.protocol.PeerMessage
 import io.mimosatrail.protocol.Peers
+import io.mimosatrail.store.ticket.ConfigKeys
+import io.mimosatrail.store.ticket.RecordCodec
+import io.mimosatrail.store.ticket.SnapshotCodec
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
