--- a/core/src/main/kotlin/io/mimosatrail/core/placement/LayerCapacity.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/placement/LayerCapacity.kt
@@ -21,7 +21,7 @@
 
     fun remove(range: LayerRange, tokens: Int) = add(range, -tokens)
 
-    /** The window of [width] layers that takes most cost away for an engine with room for [tokens]; the lowest of equals. */
+    /** The window of [width] layers in which room for [tokens] takes most cost away; the lowest of equals. */
     fun neediestWindow(width: Int, tokens: Int): LayerRange {
         val size = width.coerceIn(1, layers)
         val first = (0..layers - size).maxByOrNull { start -> (start until start + size).sumOf { relief(it, tokens) } }
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/LoopbackServer.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/LoopbackServer.kt
@@ -7,8 +7,8 @@
 import java.util.concurrent.Executors
 
 /**
- * Serves HTTP on a free port of the loopback address, each call on a thread of its own. The JDK's server is used since a
- * stand-in has to break off answers midway, which it does when an exchange is closed early.
+ * Serves HTTP on a free port of the loopback address, each call on a thread of its own. The JDK's server is used since
+ * a stand-in has to break off answers midway, which it does when an exchange is closed early.
  */
 internal class LoopbackServer(private val serve: (HttpExchange) -> Unit) : AutoCloseable {
     private val threads = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
