--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import io.mimosatrail.gateway.forward.ForwardMeters
 import io.mimosatrail.gateway.forward.InFlightTable
 import io.mimosatrail.gateway.forward.RequestRouter
+import io.mimosatrail.gateway.forward.Upstreams
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.front.FrontServer
 import io.mimosatrail.gateway.gossip.LoadGossip
@@ -92,10 +93,7 @@
         place = settings.place,
         headers = ports.headers,
         pool = pool,
-        registry = registry,
-        traffic = traffic,
-        peerLoads = peerLoads,
-        words = words,
+        upstreams = Upstreams(registry, traffic, peerLoads, words),
         retries = RetryBudgets(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
             membership.share.entries
         },
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
@@ -9,8 +9,9 @@
 /**
  * Settings of one gateway entry.
  *
- * It listens for callers on [front], for readiness checks and metrics on [ready], and for other entries on [gossip]. All
- * entries together may send a service [retryRatio] of its requests and [retrySlack] more again in [retryWindow]. A planned stop takes at most [grace].
+ * It listens for callers on [front], for readiness checks and metrics on [ready], and for other entries on [gossip].
+ * All entries together may send a service [retryRatio] of its requests and [retrySlack] more again in [retryWindow]. A
+ * planned stop takes at most [grace].
  */
 data class GatewaySettings(
     val instance: InstanceId,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -18,7 +18,9 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Carries one request to upstreams and their answer back, until it has its final answer. Confined to the event loop. */
+/**
+ * Carries one request to upstreams and their answer back, until it has its final answer. Confined to the event loop.
+ */
 internal class Forward(
     private val call: RoutedCall,
     private val targets: TargetChooser,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -1,15 +1,11 @@
 package io.mimosatrail.gateway.forward
 
-import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.PlainBalancer
-import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.id.PlaceId
 import io.mimosatrail.core.path.PipeBudget
-import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.gateway.follow.EntryShare
-import io.mimosatrail.gateway.gossip.WordBoard
 import io.mimosatrail.gateway.net.ConnectionPool
 import io.mimosatrail.gateway.wire.EngineControl
 import io.mimosatrail.gateway.wire.HeaderDialect
@@ -21,10 +17,7 @@
     val place: PlaceId,
     val headers: HeaderDialect,
     val pool: ConnectionPool,
-    val registry: UpstreamRegistry,
-    val traffic: UpstreamTraffic,
-    val peerLoads: PeerLoads,
-    val words: WordBoard,
+    upstreams: Upstreams,
     val retries: RetryBudgets,
     val engines: EngineControl,
     val share: () -> EntryShare,
@@ -32,6 +25,9 @@
     val meters: ForwardMeters,
     val scope: CoroutineScope,
 ) {
+    val registry = upstreams.registry
+    val traffic = upstreams.traffic
+    val peerLoads = upstreams.peerLoads
     val balancer = PlainBalancer(traffic, place)
     val pipes = PipeBudget()
     val refusals = RefusalWatch(
@@ -40,7 +36,7 @@
         peerLoads,
         { share().entries },
         engines,
-        words,
+        upstreams.words,
         clock,
         scope,
     )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RefusalWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RefusalWatch.kt
@@ -16,7 +16,10 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.seconds
 
-/** Learns from refusals: an upstream that lost its layers is not used for them, one that keeps refusing may be leaving. */
+/**
+ * Learns from refusals: an upstream that lost its layers is not used for them, a full one gets less, and one that keeps
+ * refusing may be leaving.
+ */
 internal class RefusalWatch(
     private val registry: UpstreamRegistry,
     private val traffic: UpstreamTraffic,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
@@ -31,7 +31,7 @@
         early.addLast(caller)
     }
 
-    /** Serves the requests that came before the first configuration, once it is there or they have waited long enough. */
+    /** Serves the requests that came before the first configuration, once it is there or they waited long enough. */
     fun tick(now: Moment) {
         while (early.isNotEmpty() && (isKnown() || now - early.first().receivedAt > LONGEST_WAIT)) {
             route(early.removeFirst())
