--- a/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
@@ -14,9 +14,12 @@
  */
 class SendHistory(private val route: HostRoute) {
     private val possibleRuns = mutableSetOf<InstanceId>()
-    private var unrunSends = 0
     private var openUpstream: InstanceId? = null
 
+    /** Sends that certainly did not run. */
+    var unrunSends = 0
+        private set
+
     /** Upstreams that were tried. */
     val tried = mutableSetOf<InstanceId>()
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -33,6 +33,7 @@
     private var isOver = false
     private var isNextSendPaid = false
     private var waitingSince: Moment? = null
+    private var sendAfter: Moment? = null
     private val unreachable = HashSet<InstanceId>()
 
     /** Sends the request for the first time. */
@@ -50,7 +51,7 @@
         if (now >= call.giveUpAt) return giveUp()
         val pending = attempt
         if (pending == null) {
-            sendNext()
+            if (sendAfter?.let { now >= it } ?: true) sendNext()
         } else if (pending.isSilent(now)) {
             pending.investigate(now)
         }
@@ -65,6 +66,7 @@
         val target = targets.choose(history.tried + unreachable)
         if (target == null) return onNoTarget()
         waitingSince = null
+        sendAfter = null
         val next = Attempt(target)
         attempt = next
         next.begin()
@@ -95,10 +97,17 @@
         history.onEnd(end)
         context.meters.onSendEnd(end.name)
         log("send-failed", ended, "end" to end, "detail" to detail)
-        if (maySendAgain()) return sendNext()
+        if (maySendAgain()) return sendAgain()
         finish(failure(ended, end, detail))
     }
 
+    /** Sends again, after a pause that grows once several upstreams have refused. */
+    private fun sendAgain() {
+        val refusals = history.unrunSends
+        if (refusals < IMMEDIATE_REFUSALS) return sendNext()
+        sendAfter = context.clock() + REFUSAL_PAUSE * (refusals - IMMEDIATE_REFUSALS + 1)
+    }
+
     private fun maySendAgain(): Boolean {
         if (!history.maySendAgain() || context.clock() + LEAST_TIME_FOR_SEND >= call.giveUpAt) return false
         if (answer.hasBegun && !call.route.isResumable) return false
@@ -307,6 +316,10 @@
         /** Callers leave a stream that pauses for two seconds. */
         val LONGEST_PAUSE = 1_200.milliseconds
 
+        /** The first refusal is often of one engine only; after more of them room is short everywhere for a moment. */
+        const val IMMEDIATE_REFUSALS = 2
+        val REFUSAL_PAUSE = 100.milliseconds
+
         /** A silent answer is looked into this often. */
         val INVESTIGATION_PAUSE = 400.milliseconds
 
