Ask upstreams that refused again, test room, pauses and a planned stop

Cause (found by the new test): an upstream that refused once was left out for the rest of the request, so that a request could run out of first engines and be refused although room had come back. Change: only upstreams that may have run the request are left out; those that refused are avoided for their pause. A stop may be asked for twice.

--- a/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
@@ -20,8 +20,8 @@
     var unrunSends = 0
         private set
 
-    /** Upstreams that were tried. */
-    val tried = mutableSetOf<InstanceId>()
+    /** Upstreams that may have run the request or still may; those that refused it may be asked again. */
+    val tried: Set<InstanceId> get() = openUpstream?.let { possibleRuns + it } ?: possibleRuns
 
     /** Number of sends. */
     var sends = 0
@@ -35,7 +35,6 @@
         check(openUpstream == null) { "a send to $openUpstream is still open" }
         check(mayRunAgain()) { "request of route ${route.name} may not be sent again" }
         sends++
-        tried += upstream
         openUpstream = upstream
     }
 
--- a/core/src/test/kotlin/io/mimosatrail/core/send/SendHistoryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/send/SendHistoryTest.kt
@@ -80,6 +80,11 @@
             }
         }
 
+        test("an upstream that refused may be asked again, one that may have run the request not") {
+            val history = history(RouteKind.IDEMPOTENT, false, SendEnd.REJECTED, SendEnd.BROKEN)
+            history.tried shouldBe setOf(InstanceId("u1"))
+        }
+
         test("over random schedules nothing that may run once runs twice, and no run is denied") {
             val random = Random(SEED)
             repeat(SCHEDULES) { number ->
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -149,8 +149,12 @@
         logEvent("gateway", "started", "settings" to settings)
     }
 
-    /** Ends new work, waits for what is in flight within the grace period, and returns when the process may end. */
+    /**
+     * Ends new work, waits for what is in flight within the grace period, and returns when the process may end. Does
+     * nothing the second time.
+     */
     fun stop() {
+        if (loop.isShuttingDown) return
         val begun = clock()
         onLoop {
             isStopping = true
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerFleet.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerFleet.kt
@@ -6,11 +6,17 @@
 /** The runners of one platform, and what they ran. */
 class RunnerFleet {
     internal val runners = ConcurrentHashMap<String, RunnerStandin>()
+    private val refusalsLeft = AtomicInteger()
     private val runs = ConcurrentHashMap<String, AtomicInteger>()
 
     /** How often the request with [id] was begun by any runner. */
     fun runsOf(id: String): Int = runs[id]?.get() ?: 0
 
+    /** Lets the runners refuse the next [count] requests for want of room. */
+    fun refuseNext(count: Int) = refusalsLeft.set(count)
+
+    internal fun takeRefusal(): Boolean = refusalsLeft.getAndUpdate { (it - 1).coerceAtLeast(0) } > 0
+
     internal fun onRun(id: String) {
         runs.getOrPut(id) { AtomicInteger() }.incrementAndGet()
     }
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerStandin.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerStandin.kt
@@ -45,6 +45,9 @@
     @Volatile
     var isDown = false
 
+    /** True where streams may begin here. */
+    val holdsFirstLayer: Boolean get() = layers?.first == 0
+
     /** While set, the runner says that it leaves. */
     @Volatile
     var isDraining = false
@@ -113,7 +116,7 @@
         val expected = headers.getFirst("X-Mimosatrail-Expected-Instance")
         call.responseHeaders[ID] = id
         if (expected != null && expected != settings.id) return call.answer(421, "")
-        if (isDown || isDraining) return refuse(call, address)
+        if (isDown || isDraining || fleet.takeRefusal()) return refuse(call, address)
         val path = headers.getFirst("X-Mimosatrail-Hop-Count")
         if (path != null) {
             fleet.faultOf(PathStage.parse(path), settings.modelLayers)?.let { return refuse(call, it) }
