--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -38,12 +38,9 @@
     private var current: Exchange? = null
     private var quietSince: Moment = clock()
 
-    /** True while a request is being served. */
-    val isBusy: Boolean get() = current != null
-
     /** Closes the connection if nothing has come on it for [limit]. */
     fun closeIfIdle(limit: Duration) {
-        if (!isBusy && clock() - quietSince > limit) context.close()
+        if (current == null && clock() - quietSince > limit) context.close()
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
@@ -21,17 +21,13 @@
     private val serve: (Caller) -> Unit,
 ) {
     private val connections = HashSet<FrontConnection>()
-    private var listening: Channel? = null
 
     /** True once the server stops: it answers what comes, and asks callers to connect elsewhere. */
     var isStopping = false
 
-    /** Number of requests that are being served. */
-    val busy: Int get() = connections.count { it.isBusy }
-
     /** Binds [address] and returns when the server listens. Fails with the cause if the address cannot be had. */
     fun listen(address: PeerAddress) {
-        listening = ServerBootstrap()
+        ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -40,7 +36,7 @@
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) = prepare(channel)
             })
-            .bind(address.host, address.port).sync().channel()
+            .bind(address.host, address.port).sync()
     }
 
     /** Closes connections on which nothing has come for the idle limit. */
@@ -49,11 +45,6 @@
         connections.toList().forEach { it.closeIfIdle(limit) }
     }
 
-    /** Accepts no more connections. */
-    fun stopListening() {
-        listening?.close()
-    }
-
     private fun prepare(channel: Channel) {
         val bounds = limits()
         val connection = FrontConnection(clock, { isStopping }, serve)
