Notice a lost engine by the silence of all its streams, and search paths in flat arrays

Change: StallSuspects finds engines whose streams are all silent for 80 ms while others go on; StallWatch asks them for a sign of life (60 ms) and leads the streams around those that give none; the find is told to the other entries at once. A target found before a failed send is given up is used for the next send. The log gives the first event and the longest pause of each stream. What is left of the pauses is the reading of the prompts on one substitute engine.

--- /dev/null
+++ b/core/src/test/kotlin/io/mimosatrail/core/path/PathTableTest.kt
@@ -0,0 +1,69 @@
+package io.mimosatrail.core.path
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.pipeline.LayerRange
+import io.mimosatrail.core.placement.siteProfile
+import kotlin.random.Random
+
+private const val SEED = 20_261_204
+private const val FLEETS = 400
+private const val LAYERS = 6
+
+private val places = listOf("north", "south").map(::PlaceId)
+private val profile = siteProfile.copy(layers = LAYERS)
+
+private fun Random.engine(number: Int): PathEngine {
+    val first = nextInt(LAYERS)
+    return PathEngine(
+        id = InstanceId("engine-$number"),
+        address = PeerAddress("engine-$number", 80),
+        place = places.random(this),
+        accelerator = profile.kinds.values.random(this),
+        layers = LayerRange(first, nextInt(first + 1, LAYERS + 1)),
+        sequences = nextDouble(50.0),
+        tokenLayers = nextDouble(90_000.0),
+        room = 100_000.0,
+        slowness = nextDouble(1.0, 3.0),
+    )
+}
+
+/** All ways to run the layers from [boundary] on, with parts that end where a layer range begins or ends. */
+private fun ways(engines: List<PathEngine>, boundary: Int): List<List<PathPart>> {
+    if (boundary == LAYERS) return listOf(emptyList())
+    return engines.filter { boundary in it.layers.first until it.layers.end }.flatMap { engine ->
+        val ends = engines.map { it.layers.first }.filter { it > boundary && it < engine.layers.end }
+        (ends + engine.layers.end).distinct().flatMap { end ->
+            ways(engines, end).map { listOf(PathPart(engine, LayerRange(boundary, end))) + it }
+        }
+    }
+}
+
+private fun PathCosts.of(path: List<PathPart>, from: PlaceId): Double {
+    val parts = path.sumOf { partMillis(it.engine, it.layers.size, allLayersMillis(it.engine)) }
+    val crossings = path.zipWithNext { part, next -> crossingMillis(part.engine.place, next.engine.place) }.sum()
+    return entryMillis(from, path.first().engine.place) + parts + crossings
+}
+
+class PathTableTest :
+    FunSpec({
+        test("on random fleets the path found costs as little as the best of all paths") {
+            val random = Random(SEED)
+            repeat(FLEETS) { number ->
+                withClue("seed $SEED, fleet $number") {
+                    val engines = List(random.nextInt(2, 7)) { random.engine(it) }
+                    val demand = PathDemand(random.nextInt(1, 2_000), random.nextInt(1, 400), places.random(random))
+                    val costs = PathCosts(profile, PathSettings(), demand) { _, _ -> true }
+                    val found = PathTable(LAYERS, engines, costs).search(demand.place, null, endsWithin = true)
+                    val best = ways(engines, 0).minOfOrNull { costs.of(it, demand.place) } ?: Double.POSITIVE_INFINITY
+                    val cost = found?.let { costs.of(it.parts, demand.place) } ?: Double.POSITIVE_INFINITY
+                    if (best.isInfinite()) cost shouldBe best else cost shouldBe best.plusOrMinus(best * 1e-9)
+                }
+            }
+        }
+    })
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import io.mimosatrail.gateway.forward.ForwardMeters
 import io.mimosatrail.gateway.forward.InFlightTable
 import io.mimosatrail.gateway.forward.RequestRouter
+import io.mimosatrail.gateway.forward.StallWatch
 import io.mimosatrail.gateway.forward.Upstreams
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.front.FrontServer
@@ -133,13 +134,15 @@
         ready.listen(settings.ready)
         gossip.listen(settings.gossip)
         timers.every("load gossip", LoadGossip.PERIOD, gossip::tell)
+        context.onFoundDown = { gossip.tell(clock()) }
+        timers.every("stalls", StallWatch.PERIOD, context.stallWatch::tick)
         timers.every("deadlines", DEADLINE_TICK) { inFlight.tick(it) }
         timers.every("early requests", DEADLINE_TICK) { router.tick(it) }
         timers.every("idle connections", IDLE_TICK) { closeIdle() }
         loop.scheduleAtFixedRate(
             { timers.advance(clock()) },
             0,
-            DEADLINE_TICK.inWholeMilliseconds,
+            StallWatch.PERIOD.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
         scope.launch { followed.run() }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerAnswer.kt
@@ -17,6 +17,9 @@
     var lastEvent: Long? = call.fields.lastEvent
         private set
 
+    /** How evenly the events came. */
+    val pace = AnswerPace(call.caller.receivedAt)
+
     /** True once the caller has got the head of an answer. */
     val hasBegun: Boolean get() = status != 0
 
@@ -43,6 +46,7 @@
             return
         }
         lastEvent = event.id ?: last
+        pace.onPart(context.clock())
         call.caller.write(event.bytes)
     }
 
@@ -87,6 +91,7 @@
         "configuration" to call.configurationVersion,
         "registry-age" to context.registry.age(context.clock()),
         "after" to (context.clock() - call.caller.receivedAt),
+        *pace.fields(),
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -9,6 +9,7 @@
 import io.mimosatrail.core.outcome.Step
 import io.mimosatrail.core.send.SendEnd
 import io.mimosatrail.core.send.SendHistory
+import io.mimosatrail.core.stall.StreamSign
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.net.ConnectionKey
@@ -36,6 +37,9 @@
     private var sendAfter: Moment? = null
     private val unreachable = HashSet<InstanceId>()
 
+    /** Where the next send goes, if that was looked up before the last one was given up. */
+    private var nextTarget: Target? = null
+
     /** Sends the request for the first time. */
     fun start() {
         context.inFlight += this
@@ -57,14 +61,17 @@
         }
     }
 
+    /** What the stream shows, or null where it is not being written or waits for its new path. */
+    fun sign(now: Moment): StreamSign? = attempt?.takeIf { answer.hasBegun }?.sign(now)
+
     /** Leads the stream around [engine], which is down. */
     fun onEngineDown(engine: InstanceId) {
         if (!isOver) attempt?.onEngineDown(engine)
     }
 
     private fun sendNext() {
-        val target = targets.choose(history.tried + unreachable)
-        if (target == null) return onNoTarget()
+        val target = nextTarget ?: choose() ?: return onNoTarget()
+        nextTarget = null
         waitingSince = null
         sendAfter = null
         val next = Attempt(target)
@@ -72,6 +79,8 @@
         next.begin()
     }
 
+    private fun choose(): Target? = targets.choose(history.tried + unreachable)
+
     /** Waits for room as long as the answer can still begin in time, then refuses. */
     private fun onNoTarget() {
         val now = context.clock()
@@ -105,6 +114,7 @@
     private fun sendAgain() {
         val refusals = history.unrunSends
         if (refusals < IMMEDIATE_REFUSALS) return sendNext()
+        nextTarget = null
         sendAfter = context.clock() + REFUSAL_PAUSE * (refusals - IMMEDIATE_REFUSALS + 1)
     }
 
@@ -135,7 +145,7 @@
         val pending = attempt
         attempt = null
         pending?.abort()
-        log("caller-gone", pending)
+        log("caller-gone", pending, "after" to (context.clock() - call.caller.receivedAt), *answer.pace.fields())
         end()
     }
 
@@ -210,6 +220,8 @@
         fun isSilent(now: Moment): Boolean =
             exchange.isSilent(now) && !isRedirecting && investigateAfter?.let { now >= it } ?: true
 
+        fun sign(now: Moment): StreamSign? = if (isRedirecting || target.path.isEmpty()) null else exchange.sign(now)
+
         fun setReading(isReading: Boolean) = exchange.setReading(isReading)
 
         fun abort() {
@@ -267,17 +279,20 @@
         /** Ends the send so that the request goes elsewhere, unless that is not allowed; then it waits on. */
         private fun failIfRepeatable(detail: String) {
             if (!call.route.isRepeatable || !history.mayFailAndSendAgain()) return
-            if (targets.choose(history.tried + unreachable) == null) return
+            val next = choose() ?: return
             isNextSendPaid = isNextSendPaid || context.retries.take(call.service.id, context.clock())
-            if (isNextSendPaid) exchange.fail(SendEnd.SILENT, detail)
+            if (!isNextSendPaid) return
+            nextTarget = next
+            exchange.fail(SendEnd.SILENT, detail)
         }
 
         override fun onFailed(end: SendEnd, detail: String) = onFailed(this, end, detail)
 
         override fun mayReplaceFailure(): Boolean {
             if (call.route.kind != RouteKind.IDEMPOTENT || !history.mayFailAndSendAgain()) return false
-            if (targets.choose(history.tried + unreachable) == null) return false
+            val next = choose() ?: return false
             isNextSendPaid = context.retries.take(call.service.id, context.clock())
+            if (isNextSendPaid) nextTarget = next
             return isNextSendPaid
         }
 
@@ -286,7 +301,8 @@
             attempt = null
             history.onAnswered()
             context.meters.onSendEnd("ANSWERED")
-            log("answered", this, "status" to answer.status, "took" to (context.clock() - call.caller.receivedAt))
+            val took = context.clock() - call.caller.receivedAt
+            log("answered", this, "status" to answer.status, "took" to took, *answer.pace.fields())
             end()
         }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.gateway.forward
 
 import io.mimosatrail.core.balance.PlainBalancer
+import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.PlaceId
 import io.mimosatrail.core.path.PipeBudget
 import io.mimosatrail.core.retry.RetryBudgets
@@ -41,5 +42,14 @@
         clock,
         scope,
     )
-    val stalls = StallSearch(engines, traffic, clock, scope, inFlight::onEngineDown)
+    val stalls = StallSearch(engines, traffic, clock, scope, ::onEngineDown)
+    val stallWatch = StallWatch(registry, traffic, engines, inFlight::signs, clock, scope, ::onEngineDown)
+
+    /** Called when this process has found an engine to be down. */
+    var onFoundDown: () -> Unit = {}
+
+    private fun onEngineDown(engine: InstanceId) {
+        onFoundDown()
+        inFlight.onEngineDown(engine)
+    }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
@@ -1,9 +1,10 @@
 package io.mimosatrail.gateway.forward
 
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.stall.StreamSign
 import io.mimosatrail.core.time.Moment
 
-/** Requests that are being forwarded. [tick] lets each look at its deadlines. */
+/** Requests that are being forwarded. */
 internal class InFlightTable {
     private val forwards = LinkedHashSet<Forward>()
 
@@ -20,5 +21,9 @@
     /** Lets every stream that passes [engine] look for another way. */
     fun onEngineDown(engine: InstanceId) = forwards.toList().forEach { it.onEngineDown(engine) }
 
+    /** What the streams under way show. */
+    fun signs(now: Moment): List<StreamSign> = forwards.mapNotNull { it.sign(now) }
+
+    /** Lets each request look at its deadlines. */
     fun tick(now: Moment) = forwards.toList().forEach { it.onTick(now) }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
@@ -10,7 +10,7 @@
  */
 internal class Target(val upstream: UpstreamRecord, val path: List<PathPart>, val tokens: Int) {
     /** All upstreams that the request depends on. */
-    val members: List<InstanceId> get() = if (path.isEmpty()) listOf(upstream.id) else path.map { it.engine.id }
+    val members: List<InstanceId> = if (path.isEmpty()) listOf(upstream.id) else path.map { it.engine.id }
 
     override fun toString(): String =
         if (path.isEmpty()) upstream.id.value else path.joinToString(",") { "${it.engine.id}[${it.layers}]" }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -2,6 +2,7 @@
 
 import io.mimosatrail.core.front.RouteKind
 import io.mimosatrail.core.send.SendEnd
+import io.mimosatrail.core.stall.StreamSign
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logProblem
 import io.mimosatrail.gateway.net.AnswerListener
@@ -49,6 +50,9 @@
         connection.send(request(), this)
     }
 
+    /** What a stream over the target's path shows. */
+    fun sign(now: Moment): StreamSign = StreamSign(target.members, silence(now))
+
     /** Time since the last sign of the upstream. */
     fun silence(now: Moment): Duration = now - lastSign
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
@@ -6,12 +6,16 @@
 import io.mimosatrail.core.path.PathPart
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.registry.UpstreamRecord
+import kotlin.time.Duration
 
 /** Control interface of the model engines. All calls suspend until an answer or a time limit. */
 interface EngineControl {
     /** What the engine says of itself, or null where it does not answer. */
     suspend fun report(engine: UpstreamRecord): EngineReport?
 
+    /** True where the engine gives any answer within [limit]. */
+    suspend fun isAnswering(engine: UpstreamRecord, limit: Duration): Boolean
+
     /** True where the upstream says on [healthPath] that it is leaving or not healthy. */
     suspend fun isLeaving(upstream: UpstreamRecord, healthPath: String): Boolean
 
