--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -135,6 +135,7 @@
         gossip.listen(settings.gossip)
         timers.every("load gossip", LoadGossip.PERIOD, gossip::tell)
         context.onFoundDown = { gossip.tell(clock()) }
+        timers.every("event loop", StallWatch.PERIOD, LoopWatch(inFlight::size)::tick)
         timers.every("stalls", StallWatch.PERIOD, context.stallWatch::tick)
         timers.every("deadlines", DEADLINE_TICK) { inFlight.tick(it) }
         timers.every("early requests", DEADLINE_TICK) { router.tick(it) }
