Report a lost engine once for all streams that wait for it, and remember searches that found nothing

Requests were then read up to two seconds late, after their callers had left. Change: StallSearch reports a culprit once a question, found in the registry; RoomMemory remembers fruitless searches by service, engines avoided and first engine, for detours and second sends too. Tests: StallSearchTest (80 streams made 80 reports before, 1 after), StallWatchTest, RoomMemoryTest.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -240,7 +240,7 @@
         fun investigate(now: Moment) {
             investigateAfter = now + INVESTIGATION_PAUSE
             if (target.path.isEmpty()) return onPlainSilence(now)
-            context.stalls.run(target) {
+            context.stalls.run(target.upstream) {
                 val later = context.clock()
                 if (attempt === this && !isRedirecting && exchange.isVerySilent(later)) {
                     failIfRepeatable("no event for ${exchange.silence(later)}")
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -42,7 +42,7 @@
         clock,
         scope,
     )
-    val stalls = StallSearch(engines, traffic, clock, scope, ::onEngineDown)
+    val stalls = StallSearch(engines, registry, traffic, clock, scope, ::onEngineDown)
     val stallWatch = StallWatch(registry, traffic, engines, inFlight::signs, clock, scope, ::onEngineDown)
 
     /** Called when this process has found an engine to be down. */
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -26,27 +26,25 @@
     private val view = EngineView(context.traffic, context.peerLoads, profile)
 
     override fun choose(tried: Set<InstanceId>): Target? {
-        val now = context.clock()
-        if (context.room.isFull(call.service.id, now)) return null
-        val engines = view.rows(context.registry.of(call.service.id), tried, context.share().entries, now)
-        val demand = demand()
-        val path = search.best(engines, demand)
-        if (path == null) {
-            if (tried.isEmpty()) context.room.onFull(call.service.id, now)
-            return null
-        }
-        noteCrossings(path.parts, demand)
-        val first = context.registry[path.parts.first().engine.id] ?: return null
-        return Target(first, path.parts, demand.tokens)
+        val path = find(RoomQuestion(call.service.id, tried)) ?: return null
+        val first = context.registry[path.first().engine.id] ?: return null
+        return Target(first, path, demand().tokens)
     }
 
     override fun redirect(current: Target): Target? {
-        val records = context.registry.of(call.service.id)
-        val engines = view.rows(records, setOf(current.upstream.id), context.share().entries, context.clock())
+        val question = RoomQuestion(call.service.id, setOf(current.upstream.id), current.upstream.id)
+        val path = find(question, current.path.first()) ?: return null
+        return Target(current.upstream, path, current.tokens)
+    }
+
+    private fun find(question: RoomQuestion, firstPart: PathPart? = null): List<PathPart>? {
+        val now = context.clock()
+        if (context.room.isFull(question, now)) return null
+        val engines = view.rows(context.registry.of(question.service), question.without, context.share().entries, now)
         val demand = demand()
-        val path = search.best(engines, demand, current.path.first()) ?: return null
-        noteCrossings(path.parts, demand)
-        return Target(current.upstream, path.parts, current.tokens)
+        val path = search.best(engines, demand, firstPart)?.parts
+        if (path == null) context.room.onFull(question, now) else noteCrossings(path, demand)
+        return path
     }
 
     private fun mayCross(from: PlaceId, to: PlaceId): Boolean {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/RoomMemoryTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/RoomMemoryTest.kt
@@ -3,11 +3,12 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.ServiceId
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration.Companion.milliseconds
 
-private val service = ServiceId("s")
+private val service = RoomQuestion(ServiceId("s"))
 private const val WAITING_REQUESTS = 200
 private const val TICK_MILLIS = 40
 
@@ -28,10 +29,18 @@
             searches shouldBeLessThanOrEqual 10
         }
 
+        test("a stream that cannot be led around an engine says nothing of one that begins elsewhere") {
+            val room = RoomMemory()
+            val first = InstanceId("a")
+            room.onFull(RoomQuestion(ServiceId("s"), setOf(first), first), Moment(0))
+            room.isFull(RoomQuestion(ServiceId("s"), setOf(InstanceId("b")), InstanceId("b")), Moment(0)) shouldBe false
+            room.isFull(RoomQuestion(ServiceId("s"), setOf(first), first), Moment(0)) shouldBe true
+        }
+
         test("one service without room says nothing of another") {
             val room = RoomMemory()
             room.onFull(service, Moment(0))
-            room.isFull(ServiceId("t"), Moment(0)) shouldBe false
+            room.isFull(RoomQuestion(ServiceId("t")), Moment(0)) shouldBe false
             room.isFull(service, Moment(0) + 100.milliseconds) shouldBe false
         }
     })
--- /dev/null
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallSearchTest.kt
@@ -0,0 +1,59 @@
+package io.mimosatrail.gateway.forward
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.balance.UpstreamTraffic
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.registry.UpstreamRegistry
+import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.wire.EngineReport
+import io.mimosatrail.gateway.wire.StalledEngine
+import kotlinx.coroutines.coroutineScope
+
+private const val STREAMS = 80
+
+private val first = engineRecord("first")
+private val lost = engineRecord("lost")
+
+private fun reportOf(vararg stalled: StalledEngine) =
+    EngineReport(layers = null, isBusy = false, orders = 0, slowness = 1.0, stalled = stalled.toList())
+
+/** Lets [STREAMS] streams that begin at [first] ask at once, and answers the engines found down and the questions. */
+private suspend fun search(report: EngineReport?, down: MutableList<InstanceId>): FakeEngines {
+    val engines = FakeEngines { report }
+    val registry = UpstreamRegistry().also { it.onListing(listOf(first, lost), Moment(0)) }
+    coroutineScope {
+        val search = StallSearch(engines, registry, UpstreamTraffic(), { Moment(0) }, this) { down += it }
+        repeat(STREAMS) { search.run(first) {} }
+    }
+    return engines
+}
+
+class StallSearchTest :
+    FunSpec({
+        test("streams that begin at one engine share a question, and a lost engine is reported once for all of them") {
+            val down = mutableListOf<InstanceId>()
+            search(reportOf(StalledEngine(lost.id, null)), down).reports shouldBe 1
+            down shouldContainExactly listOf(lost.id)
+        }
+
+        test("an engine that is named by its address only is found") {
+            val down = mutableListOf<InstanceId>()
+            search(reportOf(StalledEngine(null, lost.address)), down)
+            down shouldContainExactly listOf(lost.id)
+        }
+
+        test("a first engine that gives no report is down itself") {
+            val down = mutableListOf<InstanceId>()
+            search(null, down)
+            down shouldContainExactly listOf(first.id)
+        }
+
+        test("a report without stalled engines accuses nobody") {
+            val down = mutableListOf<InstanceId>()
+            search(reportOf(), down)
+            down.shouldBeEmpty()
+        }
+    })
