--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -36,6 +36,7 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -128,9 +129,12 @@
     private val front = FrontServer(group, clock, ::limits, router::serve)
     private val ready = FrontServer(group, clock, ::limits, ::serveReady)
 
-    /** Listens and begins to follow the store. Fails if an address cannot be had. */
-    fun start() {
-        front.listen(settings.front)
+    /**
+     * Listens and begins to follow the store. Takes [bound] over if the front address is listened on already. Fails if
+     * an address cannot be had.
+     */
+    fun start(bound: ServerSocketChannel? = null) {
+        if (bound != null) front.listen(bound) else front.listen(settings.front)
         ready.listen(settings.ready)
         gossip.listen(settings.gossip)
         timers.every("load gossip", LoadGossip.PERIOD, gossip::tell)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpServerCodec
+import java.nio.channels.ServerSocketChannel
 
 /** Listens for HTTP requests and passes each to [serve] once it has been read whole. Confined to one event loop. */
 internal class FrontServer(
@@ -26,17 +27,18 @@
     var isStopping = false
 
     /** Binds [address] and returns when the server listens. Fails with the cause if the address cannot be had. */
-    fun listen(address: PeerAddress) {
+    fun listen(address: PeerAddress) = listen(bindFront(address))
+
+    /** Serves the callers of [socket], which listens already; those that wait there come first. */
+    fun listen(socket: ServerSocketChannel) {
         ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .channelFactory { NioServerSocketChannel(socket) }
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) = prepare(channel)
             })
-            .bind(address.host, address.port).sync()
+            .register().sync()
     }
 
     /** Closes connections on which nothing has come for the idle limit. */
@@ -54,9 +56,4 @@
             .setMaxInitialLineLength(bounds.maxHeaderBytes)
         channel.pipeline().addLast(HttpServerCodec(decoder), HttpObjectAggregator(bounds.maxBodyBytes), connection)
     }
-
-    private companion object {
-        /** Connections that wait to be accepted; a burst after a failure of other entries comes at once. */
-        const val BACKLOG = 1024
-    }
 }
