Name the entry's life in the duty's key, and list entries with cheap reads once their number has settled

Change: the key's value names the life; a claim that conflicts looks at who holds; the list of entries may be seconds old once their number has not changed for 5 s. Six streams that are silent for 50 ms raise suspicion of an engine, and a sign of life is awaited for 40 ms.

--- a/core/src/main/kotlin/io/mimosatrail/core/stall/StallSuspects.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/stall/StallSuspects.kt
@@ -9,28 +9,35 @@
 
 /**
  * Finds engines that may have stopped before a single stream could tell: all streams that pass such an engine fall
- * silent at the same moment, while a stream that goes on clears every engine on its path.
+ * silent at the same moment, while a stream that goes on clears every engine on its path. The more streams are silent
+ * together, the less it can be chance.
  */
-class StallSuspects(private val leastStreams: Int = LEAST_STREAMS, private val silence: Duration = SILENCE) {
-    /** The engines that at least [leastStreams] of [signs] pass, all of them silent. */
+class StallSuspects {
+    /** The engines that a silent group of [signs] shares. */
     fun of(signs: List<StreamSign>): Set<InstanceId> {
-        val silent = signs.filter(::isSilent)
-        if (silent.size < leastStreams) return emptySet()
-        val cleared = signs.filterNot(::isSilent).flatMapTo(HashSet()) { it.engines }
-        return silent.flatMap { it.engines }.filter { it !in cleared }.groupingBy { it }.eachCount()
-            .filterValues { it >= leastStreams }.keys
+        if (signs.count { it.silence > CROWD_SILENCE } < GROUP) return emptySet()
+        return suspects(signs, CROWD_SILENCE, CROWD) + suspects(signs, GROUP_SILENCE, GROUP)
     }
 
     /** True where one of [signs] shows that answers still reach this process. */
-    fun isHearing(signs: List<StreamSign>): Boolean = signs.any { !isSilent(it) }
+    fun isHearing(signs: List<StreamSign>): Boolean = signs.any { it.silence <= CROWD_SILENCE }
 
-    private fun isSilent(sign: StreamSign): Boolean = sign.silence > silence
+    private fun suspects(signs: List<StreamSign>, limit: Duration, least: Int): Set<InstanceId> {
+        val (silent, going) = signs.partition { it.silence > limit }
+        val cleared = going.flatMapTo(HashSet()) { it.engines }
+        return silent.flatMap { it.engines }.filter { it !in cleared }.groupingBy { it }.eachCount()
+            .filterValues { it >= least }.keys
+    }
 
     private companion object {
         /** Two streams may pause together by chance; three seldom do. */
-        const val LEAST_STREAMS = 3
+        const val GROUP = 3
 
         /** Two to three times the usual time between two events of a stream. */
-        val SILENCE = 80.milliseconds
+        val GROUP_SILENCE = 80.milliseconds
+
+        /** So many streams seldom miss two events each at the same time. */
+        const val CROWD = 6
+        val CROWD_SILENCE = 50.milliseconds
     }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/store/StoreCommand.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/store/StoreCommand.kt
@@ -9,8 +9,16 @@
     /** Reads one key; replied by [StoreReply.Value]. */
     data class Get(val key: StoreKey) : StoreCommand
 
-    /** Reads up to [limit] keys under [prefix] in key order, after [after]; replied by [StoreReply.Values]. */
-    data class List(val prefix: StoreKey, val after: StoreKey? = null, val limit: Int = 100) : StoreCommand
+    /**
+     * Reads up to [limit] keys under [prefix] in key order, after [after]; replied by [StoreReply.Values]. With
+     * [mayBeStale] the reply may be seconds old, where the store has a cheaper read of that kind.
+     */
+    data class List(
+        val prefix: StoreKey,
+        val after: StoreKey? = null,
+        val limit: Int = 100,
+        val mayBeStale: Boolean = false,
+    ) : StoreCommand
 
     /**
      * Writes [value] if the key is at [expected] ([StoreRevision] 0: absent; null: unconditionally); replied by
--- a/core/src/test/kotlin/io/mimosatrail/core/stall/StallSuspectsTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/stall/StallSuspectsTest.kt
@@ -20,6 +20,13 @@
         List(3) { sign(90, "a", "b", "c") } + sign(10, "a", "c"),
         setOf("b"),
     ),
+    StallCase("three streams that missed one event are no crowd", List(3) { sign(60, "a", "b") }, emptySet()),
+    StallCase("a larger crowd is believed sooner", List(6) { sign(60, "a", "b") }, setOf("a", "b")),
+    StallCase(
+        "a stream that missed one event clears nothing for those that are silent longer",
+        List(3) { sign(90, "a", "b") } + sign(60, "b", "c"),
+        setOf("a"),
+    ),
     StallCase(
         "an engine that too few silent streams pass is not suspected",
         List(3) { sign(90, "a", "b") } + sign(90, "d", "b"),
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -12,6 +12,7 @@
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.gateway.log.logEvent
 import kotlinx.coroutines.delay
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -29,12 +30,17 @@
     private val self: InstanceId,
     private val gossip: PeerAddress,
     private val clock: Clock,
+    life: Long = Random.nextLong(),
 ) {
     private val link = StoreLink("membership")
     private var lease: LeaseId? = null
     private var isRegistered = false
     private val duty = DutyHold(self)
 
+    /** Names this life in the duty's key: the lease of an earlier one may not have ended yet. */
+    private val holderName = "$self/${life.toULong().toString(HEXADECIMAL)}"
+    private var changedAt = clock()
+
     /** Entries as last listed. */
     var share = EntryShare.UNKNOWN
         private set
@@ -93,19 +99,25 @@
     }
 
     private suspend fun list() {
-        val listing = store.listAll(ROOT)
-        if (listing !is Listing.Whole) return
+        val now = clock()
+        val listing = store.listAll(ROOT, mayBeStale = now - changedAt > SETTLED)
+        if (listing !is Listing.Whole) {
+            changedAt = now
+            return
+        }
         val counted = EntryShare.of(self, listing.values.mapNotNull(::entry).toMap())
-        if (counted != share) logEvent("membership", "entries-counted", "entries" to counted.entries)
+        if (counted != share) {
+            logEvent("membership", "entries-counted", "entries" to counted.entries)
+            changedAt = now
+        }
         share = counted
         val holder = listing.values.firstOrNull { it.key == DUTY }
-        if (holder == null) {
-            claimDuty()
-        } else {
-            noteHolder(holder.createRevision.value.takeIf { holder.value.decodeToString() == self.value })
-        }
+        if (holder == null) claimDuty() else noteHolder(ownTerm(holder))
     }
 
+    private fun ownTerm(holder: StoredValue): Long? =
+        holder.createRevision.value.takeIf { holder.value.decodeToString() == holderName }
+
     private fun entry(value: StoredValue): Pair<InstanceId, PeerAddress>? {
         val id = value.key.value.removePrefix("$ENTRIES/")
         if (id == value.key.value) return null
@@ -115,8 +127,12 @@
     }
 
     private suspend fun claimDuty() {
-        val put = StoreCommand.Put(DUTY, self.value.encodeToByteArray(), StoreRevision(0), lease)
-        noteHolder((store(put) as? StoreReply.Written)?.revision?.value)
+        val put = StoreCommand.Put(DUTY, holderName.encodeToByteArray(), StoreRevision(0), lease)
+        when (val reply = store(put)) {
+            is StoreReply.Written -> noteHolder(reply.revision.value)
+            is StoreReply.Conflict -> noteHolder(reply.current?.let(::ownTerm))
+            else -> noteHolder(null)
+        }
     }
 
     private fun noteHolder(term: Long?) {
@@ -140,6 +156,11 @@
         /** Three renewals fit into the time to live. */
         val PERIOD: Duration = 1.seconds
 
+        /** Entries that start together are counted within this time; then older listings serve as well. */
+        val SETTLED: Duration = 5.seconds
+
+        const val HEXADECIMAL = 16
+
         /** Two steady clocks may differ by this much over the time to live. */
         val CLOCK_MARGIN: Duration = 100.milliseconds
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryShare.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryShare.kt
@@ -11,6 +11,6 @@
 
         /** Share of [self] among all registered entries. */
         fun of(self: InstanceId, addresses: Map<InstanceId, PeerAddress>) =
-            EntryShare(addresses.size.coerceAtLeast(1), addresses.filterKeys { it != self }.values.toList())
+            EntryShare((addresses.keys + self).size, addresses.filterKeys { it != self }.values.toList())
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/StoreListing.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/StoreListing.kt
@@ -15,12 +15,12 @@
     data class Failed(val reply: StoreReply) : Listing
 }
 
-/** Lists all values under [prefix], page by page. */
-internal suspend fun StoreCall.listAll(prefix: StoreKey): Listing {
+/** Lists all values under [prefix], page by page. With [mayBeStale] they may be seconds old. */
+internal suspend fun StoreCall.listAll(prefix: StoreKey, mayBeStale: Boolean = false): Listing {
     val values = mutableListOf<StoredValue>()
     var after: StoreKey? = null
     while (true) {
-        val reply = this(StoreCommand.List(prefix, after))
+        val reply = this(StoreCommand.List(prefix, after, mayBeStale = mayBeStale))
         if (reply !is StoreReply.Values) return Listing.Failed(reply)
         values += reply.values
         if (!reply.more || reply.values.isEmpty()) return Listing.Whole(values)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
@@ -72,7 +72,7 @@
         private val LATE_TICK = 60.milliseconds
 
         /** Engines answer within a few milliseconds; a lost packet takes longer and looks like a lost engine. */
-        private val SIGN_TIMEOUT = 60.milliseconds
+        private val SIGN_TIMEOUT = 40.milliseconds
 
         /** An engine that gave a sign of life is slow; it is not asked again at once. */
         private val ASK_PAUSE = 1.seconds
