Use the load that plain upstreams tell, and the length of contexts in the cost of a path

Cause: both were decoded and read by nothing. Change: PlainBalancer adds what others have at an upstream, told with an answer within the last 0.5 s; PathCosts adds the time that contexts take in each step.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/PlainBalancer.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/PlainBalancer.kt
@@ -14,12 +14,12 @@
     fun choose(upstreams: List<UpstreamRecord>, tried: Set<InstanceId>, now: Moment): UpstreamRecord? {
         val open = upstreams.filter { !it.isDraining && it.id !in tried }
         val sound = open.filterNot { traffic[it.id].isAvoided(now) }
-        return sound.ifEmpty { open }.minByOrNull(::cost)
+        return sound.ifEmpty { open }.minByOrNull { cost(it, now) }
     }
 
-    private fun cost(upstream: UpstreamRecord): Double {
+    private fun cost(upstream: UpstreamRecord, now: Moment): Double {
         val row = traffic[upstream.id]
-        val load = row.outstanding.toDouble() / upstream.slots.coerceAtLeast(1)
+        val load = (row.outstanding + row.othersOutstanding(now)).toDouble() / upstream.slots.coerceAtLeast(1)
         val distance = if (upstream.place == place) 0.0 else OTHER_PLACE
         return load + distance + row.failureShare * FAILURE_WEIGHT
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/TrafficRow.kt
@@ -14,6 +14,8 @@
     private var foundDownAt: Moment? = null
     private var learnedShare = 1.0
     private var learnedAt: Moment? = null
+    private var others = 0
+    private var othersAt: Moment? = null
 
     /** Requests that were sent and not yet answered. */
     var outstanding = 0
@@ -38,6 +40,9 @@
     /** Factor by which its passes take longer than usual. */
     var slowness = 1.0
 
+    /** Requests of others that it had when it last told its load, 0 where that is long ago. */
+    fun othersOutstanding(now: Moment): Int = if (othersAt?.let { now - it <= TOLD_LOAD_SPAN } ?: false) others else 0
+
     /** True while work should go elsewhere if it can. */
     fun isAvoided(now: Moment): Boolean = isSilent(now) || avoidedUntil?.let { now < it } ?: false
 
@@ -59,6 +64,12 @@
         learnedAt = now
     }
 
+    /** Notes that it had [requests] running and waiting with the answer that just came. */
+    internal fun onToldLoad(requests: Int, now: Moment) {
+        others = (requests - outstanding).coerceAtLeast(0)
+        othersAt = now
+    }
+
     internal fun onStart() {
         outstanding++
     }
@@ -108,6 +119,7 @@
         foundDownAt = null
         refusals = 0
         learnedAt = null
+        othersAt = null
         failureShare = 0.0
         slowness = 1.0
     }
@@ -119,6 +131,9 @@
         /** Hearsay counts for less long than what this process saw itself. */
         val TOLD_DOWN_PAUSE: Duration = 800.milliseconds
 
+        /** Plain requests take about a tenth of this; an older load says little. */
+        val TOLD_LOAD_SPAN: Duration = 500.milliseconds
+
         /** Weight of the newest answer in the failure share: about the last ten count. */
         const val FAILURE_GAIN = 0.1
 
--- a/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/UpstreamTraffic.kt
@@ -21,6 +21,9 @@
     /** Notes a whole answer of [id]. */
     fun onAnswer(id: InstanceId, hasFailed: Boolean, now: Moment) = get(id).onAnswer(hasFailed, now)
 
+    /** Notes that [id] told of [requests] that it has running and waiting. */
+    fun onToldLoad(id: InstanceId, requests: Int, now: Moment) = get(id).onToldLoad(requests, now)
+
     /** Notes that [id] took no connection or gave no sign for too long. */
     fun onSilence(id: InstanceId, now: Moment) = get(id).onSilence(now)
 
--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathCosts.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathCosts.kt
@@ -14,11 +14,14 @@
     private val passes = demand.outputTokens * settings.passesPerToken
     private val stepMillis = profile.step.inWholeMicroseconds / 1e3
     private val sequenceMillis = profile.stepPerSequence.inWholeNanoseconds / 1e6
+    private val contextMillis = profile.stepPerThousandTokens.inWholeNanoseconds / 1e6
     private val hopMillis = demand.outputTokens * settings.hopMillis
 
     /** Time of the whole stream on [engine] if that runs all layers, without crowding. */
     fun allLayersMillis(engine: PathEngine): Double {
-        val write = passes * (stepMillis + (engine.sequences + 1) * sequenceMillis) * engine.accelerator.stepFactor
+        val contexts = engine.tokenLayers / engine.layers.size / 1_000 * contextMillis
+        val step = stepMillis + (engine.sequences + 1) * sequenceMillis + contexts
+        val write = passes * step * engine.accelerator.stepFactor
         return (readMillis * engine.accelerator.promptFactor + write) * engine.slowness
     }
 
--- a/core/src/test/kotlin/io/mimosatrail/core/path/PathTableTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/path/PathTableTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.PlaceId
@@ -52,6 +53,15 @@
 
 class PathTableTest :
     FunSpec({
+        test("an engine is slower the more streams it writes and the longer their contexts are") {
+            val costs = PathCosts(profile, PathSettings(), PathDemand(772, 172, places.first())) { _, _ -> true }
+            val idle = Random(SEED).engine(1).copy(sequences = 0.0, tokenLayers = 0.0)
+            val busy = idle.copy(sequences = 40.0)
+            val full = busy.copy(tokenLayers = 40_000.0 * idle.layers.size)
+            costs.allLayersMillis(idle) shouldBeLessThan costs.allLayersMillis(busy)
+            costs.allLayersMillis(busy) shouldBeLessThan costs.allLayersMillis(full)
+        }
+
         test("on random fleets the path found costs as little as the best of all paths") {
             val random = Random(SEED)
             repeat(FLEETS) { number ->
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -90,6 +90,7 @@
         }
         status = head.status()
         headers = head.headers()
+        fields.load?.let { context.traffic.onToldLoad(target.upstream.id, it.running + it.waiting, lastSign) }
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST || fields.hasNotRun) return onRefused(fields)
         mode = when {
             !isSuccess() -> Mode.BUFFERING
