Continue the configuration watch where the store is, not at the last change

Cause: the watch asked from the revision of the last change; once the store's history (20 s, or less) no longer reached back, each watch would be answered 410, read again and asked from the same revision, without a pause. Change: the configuration is read with the store's revision, and each watch continues from the revision that the last reply named. Tests: ConfigurationFollowerTest; its replies to reads are listings now, the cases are the same.

--- a/core/src/main/kotlin/io/mimosatrail/core/store/StoreReply.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/store/StoreReply.kt
@@ -9,8 +9,12 @@
     /** [value] is null where the key is absent. */
     data class Value(val value: StoredValue?) : StoreReply
 
-    /** [more] is true where further keys follow. */
-    data class Values(val values: List<StoredValue>, val more: Boolean) : StoreReply
+    /** [more] is true where further keys follow. [revision] is the store's at the time, 0 where it does not say. */
+    data class Values(
+        val values: List<StoredValue>,
+        val more: Boolean,
+        val revision: StoreRevision = StoreRevision(0),
+    ) : StoreReply
 
     /** The write took effect at [revision]. */
     data class Written(val revision: StoreRevision) : StoreReply
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
@@ -25,6 +25,9 @@
     private val link = StoreLink("configuration")
     private var revision = StoreRevision(0)
 
+    /** Where the next watch continues; the store's history may be too short for the last change. */
+    private var watched = StoreRevision(0)
+
     /** The configuration in force, or null before one was read. */
     var current: FrontConfiguration? = null
         private set
@@ -37,21 +40,22 @@
         }
     }
 
-    private suspend fun read(): Boolean = when (val reply = store(StoreCommand.Get(key))) {
-        is StoreReply.Value -> {
-            link.onAnswer()
-            reply.value?.let(::take)
-            reply.value != null
-        }
-        else -> {
+    private suspend fun read(): Boolean {
+        val reply = store(StoreCommand.List(key))
+        if (reply !is StoreReply.Values) {
             link.onFailure(reply)
-            false
+            return false
         }
+        link.onAnswer()
+        val value = reply.values.firstOrNull { it.key == key } ?: return false
+        watched = reply.revision
+        take(value)
+        return true
     }
 
     /** Waits for a change; answers false where the configuration has to be read again. */
     private suspend fun watch(): Boolean {
-        val reply = store(StoreCommand.Watch(key, revision, WATCH_WAIT))
+        val reply = store(StoreCommand.Watch(key, maxOf(watched, revision), WATCH_WAIT))
         if (reply !is StoreReply.Changes) {
             link.onFailure(reply)
             delay(RETRY_PAUSE)
@@ -59,6 +63,7 @@
         }
         link.onAnswer()
         if (reply.compacted) return false
+        watched = maxOf(watched, reply.revision)
         reply.changes.mapNotNull { it.value }.filter { it.key == key }.maxByOrNull { it.revision }?.let(::take)
         return true
     }
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
@@ -20,7 +20,8 @@
 private fun stored(version: Int, revision: Long) =
     StoredValue(key, "$version".toByteArray(), StoreRevision(revision), StoreRevision(1))
 
-private fun value(version: Int, revision: Long) = StoreReply.Value(stored(version, revision))
+private fun value(version: Int, revision: Long) =
+    StoreReply.Values(listOf(stored(version, revision)), more = false, StoreRevision(revision))
 
 private fun changes(version: Int, revision: Long) = StoreReply.Changes(
     listOf(StoreChange(key, stored(version, revision), StoreRevision(revision))),
@@ -39,7 +40,7 @@
     val seen = mutableListOf<Long>()
     val follower = ConfigurationFollower(
         store = { command ->
-            check(command is StoreCommand.Get || command is StoreCommand.Watch)
+            check(command is StoreCommand.List || command is StoreCommand.Watch)
             left.removeFirstOrNull() ?: awaitCancellation()
         },
         key = key,
@@ -73,10 +74,43 @@
             ) { case -> versions(case.replies) shouldContainExactly case.versions }
         }
 
-        test("what cannot be read changes nothing") {
-            val garbage = StoreReply.Value(
-                StoredValue(key, "garbage".toByteArray(), StoreRevision(9), StoreRevision(1)),
+        test("a watch continues where the store is, not at the last change: its history is short") {
+            val watched = mutableListOf<Long>()
+            val follower = ConfigurationFollower(
+                store = { command ->
+                    when (command) {
+                        is StoreCommand.List -> StoreReply.Values(
+                            listOf(stored(1, 5)),
+                            more = false,
+                            StoreRevision(100),
+                        )
+                        is StoreCommand.Watch -> {
+                            watched += command.after.value
+                            when {
+                                command.after.value < 100 || watched.size > 50 -> compacted
+                                watched.size < 3 -> StoreReply.Changes(
+                                    emptyList(),
+                                    StoreRevision(
+                                        command.after.value + 10,
+                                    ),
+                                )
+                                else -> awaitCancellation()
+                            }
+                        }
+                        else -> error("$command is not used here")
+                    }
+                },
+                key = key,
+                decode = ::decode,
+                onChange = {},
             )
+            withTimeoutOrNull(1.seconds) { kotlinx.coroutines.coroutineScope { follower.run() } }
+            watched shouldContainExactly listOf(100L, 110L, 120L)
+        }
+
+        test("what cannot be read changes nothing") {
+            val unreadable = StoredValue(key, "garbage".toByteArray(), StoreRevision(9), StoreRevision(1))
+            val garbage = StoreReply.Values(listOf(unreadable), more = false, StoreRevision(9))
             versions(listOf(value(1, 5), compacted, garbage, changes(2, 10))) shouldContainExactly listOf(1, 2)
         }
     })
