Let the share of the retry slack follow the number of entries

The share of the slack was worked out when a service's budget was first used, for the four entries that are assumed before the first listing; with 23 entries they took six times the slack together.

--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
@@ -7,7 +7,7 @@
  * Bounds retries within any span of [window] to [ratio] of the first attempts in that span, and [slack] more. Counts
  * are kept in [SLICES] slices. Not thread-safe.
  */
-class RetryWindow(private val ratio: Double, private val slack: Double, window: Duration) {
+class RetryWindow(private val ratio: Double, var slack: Double, window: Duration) {
     private val slice = window / SLICES
     private val firsts = LongArray(SLICES + 1)
     private val retries = LongArray(SLICES + 1)
