Ask the store less often where there are many entries

Change: ListingPace gives the period by the number of entries, within the notice of a leaving upstream and the bound of a configuration, which the settings file names; few entries ask as often as before.

--- a/core/src/test/kotlin/io/mimosatrail/core/send/SendScheduleTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/send/SendScheduleTest.kt
@@ -58,34 +58,51 @@
     Fault("refusals are not counted", Promise.ENDS, countsRefusals = false),
 )
 
-/** Plays one random schedule and answers the promises that it broke. */
-private fun play(random: Random, fault: Fault? = null): Set<Promise> {
-    val kind = RouteKind.entries.random(random)
-    val isResumable = kind == RouteKind.STREAMING && random.nextBoolean()
-    val limit = random.nextInt(1, 4)
-    fun newHistory() = SendHistory(route(kind, isResumable, limit + (fault?.extraUpstreams ?: 0)))
-    var history = newHistory()
-    var runs = 0
-    var sends = 0
-    var isAnswered = false
-    val acts = Act.entries.filter { random.nextInt(3) > 0 }.ifEmpty { Act.entries }
-    while (!isAnswered && sends < MOST_SENDS && history.maySendAgain()) {
-        val act = acts.random(random)
+/** One request under a random schedule, with [fault] put in. */
+private class Play(private val random: Random, private val fault: Fault?) {
+    private val kind = RouteKind.entries.random(random)
+    private val isResumable = kind == RouteKind.STREAMING && random.nextBoolean()
+    private val limit = random.nextInt(1, 4)
+    private val acts = Act.entries.filter { random.nextInt(3) > 0 }.ifEmpty { Act.entries }
+    private var history = newHistory()
+    private var runs = 0
+    private var sends = 0
+
+    /** Plays to the end and answers the promises that were broken. */
+    fun broken(): Set<Promise> {
+        var isAnswered = false
+        while (!isAnswered && sends < MOST_SENDS && history.maySendAgain()) isAnswered = send(acts.random(random))
+        return Promise.entries.filterTo(HashSet(), ::isBroken)
+    }
+
+    /** Answers true where the request was answered whole. */
+    private fun send(act: Act): Boolean {
         history.onSend(InstanceId("u${sends++}"))
         if (act.runs) runs++
-        if (act.seen == null) history.onAnswered() else history.onEnd(fault?.misreads?.invoke(act.seen) ?: act.seen)
-        isAnswered = act.seen == null
+        if (act.seen == null) {
+            history.onAnswered()
+            return true
+        }
+        history.onEnd(fault?.misreads?.invoke(act.seen) ?: act.seen)
         if (fault?.countsRefusals == false && history.hasNotRun) history = newHistory()
+        return false
     }
-    return buildSet {
+
+    private fun isBroken(promise: Promise): Boolean {
         val isRepeatable = kind == RouteKind.IDEMPOTENT || isResumable
-        if (!isRepeatable && runs > 1) add(Promise.RUNS_ONCE)
-        if (isRepeatable && runs > limit) add(Promise.RUNS_WITHIN_THE_ROUTES_LIMIT)
-        if (history.hasNotRun && runs > 0) add(Promise.SAYS_NOT_RUN_ONLY_IF_SO)
-        if (sends >= MOST_SENDS) add(Promise.ENDS)
+        return when (promise) {
+            Promise.RUNS_ONCE -> !isRepeatable && runs > 1
+            Promise.RUNS_WITHIN_THE_ROUTES_LIMIT -> isRepeatable && runs > limit
+            Promise.SAYS_NOT_RUN_ONLY_IF_SO -> history.hasNotRun && runs > 0
+            Promise.ENDS -> sends >= MOST_SENDS
+        }
     }
+
+    private fun newHistory() = SendHistory(route(kind, isResumable, limit + (fault?.extraUpstreams ?: 0)))
 }
 
+private fun play(random: Random, fault: Fault? = null): Set<Promise> = Play(random, fault).broken()
+
 class SendScheduleTest :
     FunSpec({
         test("whatever upstreams do, no promise is broken") {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.front.FrontLimits
+import io.mimosatrail.core.registry.ListingPace
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
@@ -61,10 +62,12 @@
     private val inFlight = InFlightTable()
     private val words = WordBoard(registry, traffic, clock)
     private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
+    private val pace = ListingPace(settings.drainNotice, settings.configurationBound)
     private val followed = ConfigurationFollower(
         ports.store,
         ports.configurationKey,
         ports.decodeConfiguration,
+        pace.watchWait,
         onChange = { logReadiness() },
     )
     private val follower = RegistryFollower(
@@ -73,6 +76,7 @@
         ports.decodeUpstream,
         registry,
         clock,
+        period = { pace.registryPeriod(membership.share.entries) },
         onChange = {
             traffic.onRegistry(it)
             logReadiness()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
@@ -11,7 +11,8 @@
  *
  * It listens for callers on [front], for readiness checks and metrics on [ready], and for other entries on [gossip].
  * All entries together may send a service [retryRatio] of its requests and [retrySlack] more again in [retryWindow]. A
- * planned stop takes at most [grace].
+ * planned stop takes at most [grace]. A leaving upstream gets nothing more [drainNotice] after its word, and a
+ * configuration is in force within [configurationBound].
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -23,5 +24,7 @@
     val retrySlack: Double,
     val retryWindow: Duration,
     val grace: Duration,
+    val drainNotice: Duration,
+    val configurationBound: Duration,
     val placement: PlacementSettings = PlacementSettings(),
 )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
@@ -10,6 +10,7 @@
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.log.logProblem
 import kotlinx.coroutines.delay
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -20,6 +21,7 @@
     private val store: StoreCall,
     private val key: StoreKey,
     private val decode: (ByteArray) -> FrontConfiguration?,
+    private val watchWait: Duration,
     private val onChange: (FrontConfiguration) -> Unit,
 ) {
     private val link = StoreLink("configuration")
@@ -55,7 +57,7 @@
 
     /** Waits for a change; answers false where the configuration has to be read again. */
     private suspend fun watch(): Boolean {
-        val reply = store(StoreCommand.Watch(key, maxOf(watched, revision), WATCH_WAIT))
+        val reply = store(StoreCommand.Watch(key, maxOf(watched, revision), watchWait))
         if (reply !is StoreReply.Changes) {
             link.onFailure(reply)
             delay(RETRY_PAUSE)
@@ -88,9 +90,6 @@
     }
 
     private companion object {
-        /** A watch that hears nothing for this long is asked again, so that a silent connection is noticed. */
-        val WATCH_WAIT = 1_200.milliseconds
-
         val RETRY_PAUSE = 150.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
@@ -10,7 +10,7 @@
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.log.logProblem
 import kotlinx.coroutines.delay
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
 
 /** Keeps [registry] up to date with the entries that upstreams write under [prefix]. */
 internal class RegistryFollower(
@@ -19,16 +19,17 @@
     private val decode: (StoredValue) -> UpstreamRecord?,
     private val registry: UpstreamRegistry,
     private val clock: Clock,
+    private val period: () -> Duration,
     private val onChange: (List<RegistryChange>) -> Unit,
 ) {
     private val link = StoreLink("registry")
     private val unreadable = HashSet<StoreKey>()
 
-    /** Lists the prefix at a fixed pace until cancelled. */
+    /** Lists the prefix until cancelled. */
     suspend fun run() {
         while (true) {
             list()
-            delay(PERIOD)
+            delay(period())
         }
     }
 
@@ -72,9 +73,4 @@
         isDraining -> "draining"
         else -> "ready[${layers ?: "-"}]@$address"
     }
-
-    private companion object {
-        /** A leaving upstream gets nothing more within two seconds of its word; two listings fit into that. */
-        val PERIOD = 700.milliseconds
-    }
 }
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
@@ -45,6 +45,7 @@
         },
         key = key,
         decode = ::decode,
+        watchWait = 1.seconds,
         onChange = { seen += it.version },
     )
     withTimeoutOrNull(3.seconds) {
@@ -102,6 +103,7 @@
                 },
                 key = key,
                 decode = ::decode,
+                watchWait = 1.seconds,
                 onChange = {},
             )
             withTimeoutOrNull(1.seconds) { kotlinx.coroutines.coroutineScope { follower.run() } }
