--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallSearch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallSearch.kt
@@ -13,8 +13,8 @@
 import kotlinx.coroutines.launch
 
 /**
- * Asks the first engine of a path which engines its silent streams wait for. Streams that begin at the same engine share
- * one question, and an engine that is down is reported once for all of them.
+ * Asks the first engine of a path which engines its silent streams wait for. Streams that begin at the same engine
+ * share one question, and an engine that is down is reported once for all of them.
  */
 internal class StallSearch(
     private val engines: EngineControl,
