--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
@@ -57,18 +57,15 @@
         var line = start
         while (line < end) {
             val next = (line until end).firstOrNull { rest[it] == LINE_FEED } ?: end
-            if (isIdField(
-                    line,
-                    next,
-                )
-            ) {
-                return String(rest, line + ID_FIELD.size, next - line - ID_FIELD.size).trim().toLongOrNull()
-            }
+            if (isIdField(line, next)) return idIn(line, next)
             line = next + 1
         }
         return null
     }
 
+    private fun idIn(line: Int, next: Int): Long? =
+        String(rest, line + ID_FIELD.size, next - line - ID_FIELD.size).trim().toLongOrNull()
+
     private fun isIdField(from: Int, to: Int): Boolean =
         to - from > ID_FIELD.size && ID_FIELD.indices.all { rest[from + it] == ID_FIELD[it] }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/log/EventLog.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/log/EventLog.kt
@@ -22,15 +22,12 @@
     append(part).append(": ").append(event)
     for ((name, value) in fields) {
         if (value == null) continue
-        val text = value.toString()
-        append(' ').append(name).append('=')
-        if (text.any {
-                it == ' ' || it == '"'
-            }
-        ) {
-            append('"').append(text.replace('"', '\'')).append('"')
-        } else {
-            append(text)
-        }
+        append(' ').append(name).append('=').append(quoted(value.toString()))
     }
 }
+
+/** [text] as one word: in quotes where it has spaces or quotes itself. */
+private fun quoted(text: String): String {
+    val needsQuotes = text.any { it == ' ' || it == '"' }
+    return if (needsQuotes) "\"${text.replace('"', '\'')}\"" else text
+}
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
@@ -55,6 +55,14 @@
 
         fun connect(address: PeerAddress) = Socket(address.host, address.port)
 
+        test("callers that connected before a server took the socket over are served") {
+            val socket = bindFront(PeerAddress("127.0.0.1", 0))
+            val early = Socket("127.0.0.1", socket.socket().localPort)
+            early.ask("/early")
+            FrontServer(group, systemClock, { limits }) { it.answerText("served") }.listen(socket)
+            early.readUntil("served") shouldStartWith "HTTP/1.1 200"
+        }
+
         test("a caller that closes before the first byte is noticed while its request is served") {
             val asked = CountDownLatch(1)
             val gone = CountDownLatch(1)
