--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamWord.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamWord.kt
@@ -16,8 +16,12 @@
     val until: Moment,
 ) {
     /** True where [listed], the upstream's own entry, makes this needless or wrong. */
-    internal fun isOver(listed: UpstreamRecord?, now: Moment): Boolean = listed == null || now >= until ||
-        listed.startedMillis != startedMillis || (listed.layers == layers && listed.isDraining == isDraining)
+    internal fun isOver(listed: UpstreamRecord?, now: Moment): Boolean {
+        if (listed == null || now >= until) return true
+        val isAnotherLife = listed.startedMillis != startedMillis
+        val isShown = listed.layers == layers && listed.isDraining == isDraining
+        return isAnotherLife || isShown
+    }
 
     internal fun applyTo(listed: UpstreamRecord): UpstreamRecord =
         listed.copy(layers = layers, isDraining = listed.isDraining || isDraining)
