Read addresses in one place, and derive what a prepared send says twice

No decision changes; an entry's gossip address with an impossible port is now skipped as unreadable instead of failing when it is told.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.id.LeaseId
 import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.net.toPeerAddressOrNull
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreKey
@@ -121,9 +122,7 @@
     private fun entry(value: StoredValue): Pair<InstanceId, PeerAddress>? {
         val id = value.key.value.removePrefix("$ENTRIES/")
         if (id == value.key.value) return null
-        val address = value.value.decodeToString()
-        val port = address.substringAfterLast(':').toIntOrNull() ?: return null
-        return InstanceId(id) to PeerAddress(address.substringBeforeLast(':'), port)
+        return value.value.decodeToString().toPeerAddressOrNull()?.let { InstanceId(id) to it }
     }
 
     private suspend fun claimDuty() {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Forward.kt
@@ -32,12 +32,11 @@
     private var attempt: Attempt? = null
     private var failedConnects = 0
     private var isOver = false
-    private var isNextSendPaid = false
     private var waitingSince: Moment? = null
     private var sendAfter: Moment? = null
     private val unreachable = HashSet<InstanceId>()
 
-    /** Where the next send goes, if that was looked up before the last one was given up. */
+    /** Where the next send goes, if it was found and paid for before the last one was given up. */
     private var nextTarget: Target? = null
 
     /** Sends the request for the first time. */
@@ -121,8 +120,18 @@
     private fun maySendAgain(): Boolean {
         if (!history.maySendAgain() || context.clock() + LEAST_TIME_FOR_SEND >= call.giveUpAt) return false
         if (answer.hasBegun && !call.route.isResumable) return false
-        if (isNextSendPaid) return true.also { isNextSendPaid = false }
-        return context.retries.take(call.service.id, context.clock())
+        return nextTarget != null || payForSend()
+    }
+
+    private fun payForSend(): Boolean = context.retries.take(call.service.id, context.clock())
+
+    /** Finds and pays for another send while one is open; false where there is none or no budget is left. */
+    private fun prepareNextSend(): Boolean {
+        if (!history.mayFailAndSendAgain()) return false
+        val next = choose() ?: return false
+        if (!payForSend()) return false
+        nextTarget = next
+        return true
     }
 
     private fun giveUp() {
@@ -278,23 +287,12 @@
 
         /** Ends the send so that the request goes elsewhere, unless that is not allowed; then it waits on. */
         private fun failIfRepeatable(detail: String) {
-            if (!call.route.isRepeatable || !history.mayFailAndSendAgain()) return
-            val next = choose() ?: return
-            isNextSendPaid = isNextSendPaid || context.retries.take(call.service.id, context.clock())
-            if (!isNextSendPaid) return
-            nextTarget = next
-            exchange.fail(SendEnd.SILENT, detail)
+            if (call.route.isRepeatable && prepareNextSend()) exchange.fail(SendEnd.SILENT, detail)
         }
 
         override fun onFailed(end: SendEnd, detail: String) = onFailed(this, end, detail)
 
-        override fun mayReplaceFailure(): Boolean {
-            if (call.route.kind != RouteKind.IDEMPOTENT || !history.mayFailAndSendAgain()) return false
-            val next = choose() ?: return false
-            isNextSendPaid = context.retries.take(call.service.id, context.clock())
-            if (isNextSendPaid) nextTarget = next
-            return isNextSendPaid
-        }
+        override fun mayReplaceFailure(): Boolean = call.route.kind == RouteKind.IDEMPOTENT && prepareNextSend()
 
         override fun onComplete() {
             release()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -24,11 +24,12 @@
 ) : TargetChooser {
     private val search = PathSearch(profile, mayCross = ::mayCross)
     private val view = EngineView(context.traffic, context.peerLoads, profile)
+    private val demand = demand()
 
     override fun choose(tried: Set<InstanceId>): Target? {
         val path = find(RoomQuestion(call.service.id, tried)) ?: return null
         val first = context.registry[path.first().engine.id] ?: return null
-        return Target(first, path, demand().tokens)
+        return Target(first, path, demand.tokens)
     }
 
     override fun redirect(current: Target): Target? {
@@ -41,9 +42,8 @@
         val now = context.clock()
         if (context.room.isFull(question, now)) return null
         val engines = view.rows(context.registry.of(question.service), question.without, context.share().entries, now)
-        val demand = demand()
         val path = search.best(engines, demand, firstPart)?.parts
-        if (path == null) context.room.onFull(question, now) else noteCrossings(path, demand)
+        if (path == null) context.room.onFull(question, now) else noteCrossings(path)
         return path
     }
 
@@ -52,7 +52,7 @@
         return context.pipes.mayCross(from, to, profile.crossPlaceBytesPerSecond, entries, context.clock())
     }
 
-    private fun noteCrossings(path: List<PathPart>, demand: PathDemand) {
+    private fun noteCrossings(path: List<PathPart>) {
         val bytes = profile.activationBytes.toDouble() * demand.tokens
         path.zipWithNext { part, next ->
             if (part.engine.place != next.engine.place) context.pipes.take(part.engine.place, next.engine.place, bytes)
