Log upstreams that a listing lacks and that are kept

After an outage of the store the registry keeps upstreams that it no longer lists, and nothing showed that in the logs: an upstream that was kept too long (hypothesis 1 of docs/incidents/drain.md) could not be told from one whose leaving was learned late (2) or undone (4). The line upstream-missing gives the moment at which a listing first lacked it; upstream-changed state=gone the moment at which it was removed. UpstreamRegistryTest covers the new property.

--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -20,6 +20,10 @@
     private var lastListing: Moment? = null
     private var reachableSince: Moment? = null
 
+    /** Upstreams that the last listing lacked and that have not been removed yet. */
+    var missing: Set<InstanceId> = emptySet()
+        private set
+
     /** All upstreams that have not been removed, draining ones included. */
     val all: Collection<UpstreamRecord> get() = records.values
 
@@ -42,6 +46,7 @@
         val seen = listing.associateBy { it.id }
         if (mayRemove(now)) listed.keys.retainAll(seen.keys)
         listed += seen
+        missing = listed.keys - seen.keys
         return refresh(now)
     }
 
--- a/core/src/test/kotlin/io/mimosatrail/core/registry/UpstreamRegistryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/registry/UpstreamRegistryTest.kt
@@ -44,8 +44,10 @@
             registry.onListing(emptyList(), start + 10.seconds)
             registry.onListing(listOf(record("a")), start + 11.seconds)
             registry.names() shouldContainExactly listOf("a", "b")
+            registry.missing.map { it.value } shouldContainExactly listOf("b")
             registry.onListing(listOf(record("a")), start + 12.5.seconds)
             registry.names() shouldContainExactly listOf("a")
+            registry.missing.shouldBeEmpty()
         }
 
         test("a change has the records before and after it") {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
@@ -42,8 +42,10 @@
             }
             is Listing.Complete -> {
                 outageLog.onAnswer()
+                val missingBefore = registry.missing
                 val changes = registry.onListing(listing.values.mapNotNull(::toRecord), requestedAt)
                 changes.forEach(::log)
+                (registry.missing - missingBefore).forEach { logEvent("registry", "upstream-missing", "upstream" to it) }
                 if (changes.isNotEmpty()) onChange(changes)
             }
         }
