Remove upstreams in time that left around an outage of the store

What callers saw: requests reached an upstream up to 3.0 s after its entry had been removed from the registry (bound: 2 s), from an entry whose access to the store had been interrupted until shortly before.

Cause: after any failed listing UpstreamRegistry kept all missing upstreams for 2.2 s from the first listing that succeeded, also those that it had listed since, and removed them only with the next regular listing, up to 0.7 s later. Class of the fault: a grace period that is longer than the bound it serves, since the interval of the poll that ends it was not counted.

Change: only upstreams that were not listed since the outage are kept; only after an outage in which entries can have expired (two heartbeats); and the listing that removes them is scheduled for the end of the grace period.

--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -9,20 +9,30 @@
 /**
  * The known upstreams: the last listing of the registry, updated with observations that are newer.
  *
- * While the store is unavailable, the registry entries of live upstreams may expire. An upstream that is missing from a
- * listing is therefore removed only if the store has been reachable for [expiryGrace]. Not thread-safe.
+ * Live upstreams renew their entries every [heartbeat]. Their entries may expire while the store is unavailable, so
+ * what is missing after an outage is kept until live upstreams have had time to register again. Whatever has been
+ * listed since the outage and is missing later has left. Not thread-safe.
  */
-class UpstreamRegistry(private val expiryGrace: Duration = EXPIRY_GRACE) {
+class UpstreamRegistry(heartbeat: Duration = DEFAULT_HEARTBEAT) {
+    private val shortestExpiry = heartbeat * HEARTBEATS_TO_EXPIRE
     private val listed = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val records = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val observations = HashMap<InstanceId, UpstreamObservation>()
     private var byService = emptyMap<ServiceId, List<UpstreamRecord>>()
     private var lastListing: Moment? = null
-    private var reachableSince: Moment? = null
+
+    /** True if the registry could not be read since the last listing. */
+    private var hasFailed = false
+
+    /** Time of the first listing after the last outage in which entries may have expired. */
+    private var returnedAt: Moment? = null
+    private val notListedSinceOutage = LinkedHashSet<InstanceId>()
 
     /** Upstreams that the last listing lacked and that have not been removed yet. */
-    var missing: Set<InstanceId> = emptySet()
-        private set
+    val missing: Set<InstanceId> get() = notListedSinceOutage.toSet()
+
+    /** The [missing] upstreams are removed by the first listing that is read at this time or later; null if none. */
+    val missingUntil: Moment? get() = if (notListedSinceOutage.isEmpty()) null else returnedAt?.plus(REGISTRATION_TIME)
 
     /** All upstreams that have not been removed, draining ones included. */
     val all: Collection<UpstreamRecord> get() = records.values
@@ -41,12 +51,17 @@
 
     /** Applies a complete listing that was read at [now] and returns the changes. */
     fun onListing(listing: List<UpstreamRecord>, now: Moment): List<RegistryChange> {
-        if (reachableSince == null) reachableSince = now
+        if (mayHaveExpired(now)) {
+            returnedAt = now
+            notListedSinceOutage += listed.keys
+        }
+        hasFailed = false
         lastListing = now
         val seen = listing.associateBy { it.id }
-        if (mayRemove(now)) listed.keys.retainAll(seen.keys)
+        notListedSinceOutage -= seen.keys
+        if (missingUntil?.let { now >= it } ?: false) notListedSinceOutage.clear()
+        listed.keys.retainAll(seen.keys + notListedSinceOutage)
         listed += seen
-        missing = listed.keys - seen.keys
         return refresh(now)
     }
 
@@ -73,14 +88,20 @@
 
     /** Records that the registry could not be read. */
     fun onUnreachable() {
-        reachableSince = null
+        hasFailed = true
     }
 
-    private fun mayRemove(now: Moment): Boolean = reachableSince?.let { now - it >= expiryGrace } ?: false
+    private fun mayHaveExpired(now: Moment): Boolean =
+        hasFailed && lastListing?.let { now - it >= shortestExpiry } ?: false
 
     private companion object {
+        val DEFAULT_HEARTBEAT = 1_200.milliseconds
+
+        /** An entry expires after three missed heartbeats; the first may have been due when the outage began. */
+        const val HEARTBEATS_TO_EXPIRE = 2
+
         /** Upstreams register again about two seconds after the end of an outage. */
-        val EXPIRY_GRACE = 2_200.milliseconds
+        val REGISTRATION_TIME = 2_100.milliseconds
     }
 }
 
--- a/core/src/test/kotlin/io/mimosatrail/core/registry/UpstreamRegistryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/registry/UpstreamRegistryTest.kt
@@ -50,6 +50,37 @@
             registry.missing.shouldBeEmpty()
         }
 
+        // Guards against requests to an upstream that left while its entry was kept after an outage of the store.
+        context("an upstream that leaves without notice is removed") {
+            fun registryAfterOutage(ids: List<String>) = UpstreamRegistry().apply {
+                onListing(listOf(record("a"), record("b")), start)
+                onUnreachable()
+                onListing(ids.map { record(it) }, start + 10.seconds)
+            }
+
+            test("by the next listing, once it has been listed since the outage") {
+                val registry = registryAfterOutage(listOf("a", "b"))
+                registry.onListing(listOf(record("a")), start + 10.5.seconds)
+                registry.names() shouldContainExactly listOf("a")
+            }
+
+            test("by the first listing after live upstreams have registered again") {
+                val registry = registryAfterOutage(listOf("a"))
+                val end = checkNotNull(registry.missingUntil)
+                registry.onListing(listOf(record("a")), end)
+                registry.names() shouldContainExactly listOf("a")
+                registry.missingUntil shouldBe null
+            }
+
+            test("at once after a failure that is too short for entries to expire") {
+                val registry = UpstreamRegistry(heartbeat = 1.seconds)
+                registry.onListing(listOf(record("a"), record("b")), start)
+                registry.onUnreachable()
+                registry.onListing(listOf(record("a")), start + 1.9.seconds)
+                registry.names() shouldContainExactly listOf("a")
+            }
+        }
+
         test("a change has the records before and after it") {
             val registry = UpstreamRegistry()
             registry.onListing(listOf(record("a")), start).single().before shouldBe null
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -59,7 +59,7 @@
     private val timers = TimerService()
     private val pool = ConnectionPool(loop, clock)
     private val ports = makePorts(ControlClient(pool, loop))
-    private val registry = UpstreamRegistry()
+    private val registry = UpstreamRegistry(settings.heartbeat)
     private val traffic = UpstreamTraffic()
     private val peerLoads = PeerLoads()
     private val inFlight = InFlightTable()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewaySettings.kt
@@ -13,6 +13,7 @@
  * In each [retryWindow], all entries together may retry as many requests of a service as [retryRatio] times the number
  * of its requests, plus [retrySlack]. A planned stop takes at most [grace]. An upstream that announces that it is
  * leaving gets no new requests after [drainNotice], and a new configuration is in force within [configurationBound].
+ * Upstreams renew their entries in the registry every [heartbeat].
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -26,5 +27,6 @@
     val grace: Duration,
     val drainNotice: Duration,
     val configurationBound: Duration,
+    val heartbeat: Duration,
     val placement: PlacementSettings = PlacementSettings(),
 )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
@@ -29,10 +29,14 @@
     suspend fun run() {
         while (true) {
             list()
-            delay(period())
+            delay(untilNextListing())
         }
     }
 
+    /** The regular period, or less if upstreams that are missing have to be removed earlier. */
+    private fun untilNextListing(): Duration =
+        registry.missingUntil?.let { minOf(period(), (it - clock()).coerceAtLeast(Duration.ZERO)) } ?: period()
+
     private suspend fun list() {
         val requestedAt = clock()
         when (val listing = store.listAll(prefix)) {
@@ -45,7 +49,9 @@
                 val missingBefore = registry.missing
                 val changes = registry.onListing(listing.values.mapNotNull(::toRecord), requestedAt)
                 changes.forEach(::log)
-                (registry.missing - missingBefore).forEach { logEvent("registry", "upstream-missing", "upstream" to it) }
+                (registry.missing - missingBefore).forEach {
+                    logEvent("registry", "upstream-missing", "upstream" to it)
+                }
                 if (changes.isNotEmpty()) onChange(changes)
             }
         }
