--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -331,7 +331,8 @@
 
         private fun send(lease: Lease.Ready) {
             history.onSend(target.upstream.id)
-            if (history.sends == 1) log("sent", this) else log("sent-again", this)
+            val prompt = call.fields.promptParts.joinToString("/")
+            log(if (history.sends == 1) "sent" else "sent-again", this, "prompt" to prompt)
             exchange.send(lease.connection)
         }
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/HeaderCodec.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/HeaderCodec.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.gateway.wire
 
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PromptPartId
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.id.WorkspaceId
 import io.mimosatrail.core.net.PeerAddress
@@ -25,7 +26,8 @@
  *
  * [remaining] is how long the caller will still wait. [promptTokens] is the length of the prompt, [maxOutputTokens] the
  * limit of the output, and [expectedOutputTokens] the caller's estimate of its length. [lastEventId] is the id of the
- * last event that the caller has received, if it resumes a stream.
+ * last event that the caller has received, if it resumes a stream. [promptParts] are the parts of the prompt in order;
+ * the last one belongs to this request or its session alone, the others may be shared.
  */
 data class RequestFields(
     val request: RequestId?,
@@ -35,7 +37,11 @@
     val maxOutputTokens: Int?,
     val expectedOutputTokens: Int?,
     val lastEventId: Long?,
-)
+    val promptParts: List<PromptPartId> = emptyList(),
+) {
+    /** The parts of the prompt that other requests may share. */
+    val sharedParts: List<PromptPartId> get() = promptParts.dropLast(1)
+}
 
 /**
  * Header fields of a request to an upstream. [upstream] is the instance that must process it; any other that uses the
