Receive gossip messages of any length

Cause: Netty reads datagrams into a buffer of 2,048 bytes by default and drops the rest; a message with the loads of some fifty engines is longer. Class of the fault: a limit of a library that depends on the size of the deployment.

Change: the buffer holds the longest datagram that there is.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -12,7 +12,9 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -50,6 +52,7 @@
     /** Binds [address]; throws if that is not possible. */
     fun listen(address: PeerAddress) {
         channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     channel.pipeline().addLast(Receiver())
@@ -105,5 +108,8 @@
 
         /** Limits the datagrams that one entry sends, whatever the number of entries. */
         private const val PEERS_PER_ROUND = 6
+
+        /** Longest datagram over IPv4; a longer one than the buffer would be cut off and could not be decoded. */
+        private const val MAX_DATAGRAM_BYTES = 65_507
     }
 }
