Refuse requests with a prompt part under which engines crash

Cause: an entry drew conclusions from a crash about the engine only, never about the request. Class of the fault: a retry that carries the cause of the failure with it.

Change: when a stream breaks just after it began, its engine is probed; if that does not respond, all shared parts of the prompt become suspects. Three crashes with three different requests quarantine a part, unless a request with it was answered, or has been streamed for half a second, at any entry. Entries gossip evidence, answers and quarantines. Of two parts that occur together the one that occurs less often elsewhere is chosen, and its requests are no evidence against the other. A request that met with two crashes under a suspected part is not sent again. Refusals are 503 only if the request has certainly not run.

--- a/core/src/main/kotlin/io/mimosatrail/core/outcome/RefusalReason.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/outcome/RefusalReason.kt
@@ -48,6 +48,10 @@
     @SerialName("peer-lost")
     PEER_LOST,
 
+    /** Requests like this one crashed several upstreams. */
+    @SerialName("quarantined")
+    QUARANTINED,
+
     @SerialName("upstream-error")
     UPSTREAM_ERROR,
 
--- /dev/null
+++ b/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
@@ -0,0 +1,141 @@
+package io.mimosatrail.core.quarantine
+
+import io.mimosatrail.core.id.PromptPartId
+import io.mimosatrail.core.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Finds the parts of prompts under which engines crash. Requests whose prompts contain one are refused.
+ *
+ * Every request that an engine had just begun to answer when it crashed is a suspect, with all parts of its prompt but
+ * the last. A part is quarantined if [CRASHES] crashes with [REQUESTS] different requests have it in common and no
+ * request that contains it has been answered recently. Requests with a part that is already quarantined are no evidence
+ * against their other parts.
+ *
+ * Entries share what they observe, since one entry sees only a fraction of the crashes and answers. Not thread-safe.
+ */
+class PromptQuarantine {
+    private val suspects = RecentMap<PromptPartId, Suspect>(MAX_SUSPECTS)
+
+    /** Time of the last answer that this entry received to a request with the part. */
+    private val answeredAt = RecentMap<PromptPartId, Moment>(MAX_ANSWERED)
+
+    /** Number of requests with the part that this entry has sent. */
+    private val sent = RecentMap<PromptPartId, Int>(MAX_ANSWERED)
+
+    /** Time of the last message of another entry that had received an answer to a request with the part. */
+    private val answeredElsewhereAt = RecentMap<PromptPartId, Moment>(MAX_SUSPECTS)
+    private val quarantinedUntil = RecentMap<PromptPartId, Moment>(MAX_QUARANTINED)
+    private val published = RecentMap<CrashEvidence, Moment>(MAX_PUBLISHED)
+
+    /** The first of [parts] that is quarantined, or null if the request may be sent. */
+    fun find(parts: List<PromptPartId>, now: Moment): PromptPartId? =
+        parts.firstOrNull { part -> quarantinedUntil[part]?.let { now < it } ?: false }
+
+    /** True if one of [parts] is suspected strongly enough that a request that met with a crash is not sent again. */
+    fun isSuspect(parts: List<PromptPartId>, now: Moment): Boolean = parts.any { part ->
+        !isSound(part, now) && (suspects[part]?.crashes(explained = emptySet()) ?: 0) >= CRASHES_BEFORE_NO_REPEAT
+    }
+
+    /** Records that a request with [parts] is sent to an engine for the first time. */
+    fun onSent(parts: List<PromptPartId>) = parts.forEach { sent[it] = (sent[it] ?: 0) + 1 }
+
+    /** Records that a request with [parts] was answered, or its engine survived the start of the answer. Clears them. */
+    fun onAnswered(parts: List<PromptPartId>, now: Moment) = parts.forEach { part ->
+        answeredAt[part] = now
+        clear(part)
+    }
+
+    /** Records what this entry observed when an engine crashed. */
+    fun onCrash(evidence: List<CrashEvidence>, now: Moment) {
+        evidence.filterNot { isSound(it.part, now) }.forEach {
+            published[it] = now
+            add(it, now)
+        }
+    }
+
+    /** Applies the report of another entry. Returns the parts that it has quarantined and this one had not. */
+    fun onReport(report: QuarantineReport, now: Moment): List<PromptPartId> {
+        report.answered.forEach { part ->
+            answeredElsewhereAt[part] = now
+            clear(part)
+        }
+        report.evidence.forEach { add(it, now) }
+        val added = report.quarantined.filter { it.part !in quarantinedUntil && !isSound(it.part, now) }
+        added.forEach { quarantinedUntil[it.part] = now + it.remainingMillis.milliseconds }
+        return added.map { it.part }
+    }
+
+    /** Quarantines the parts against which there is enough evidence now, and returns them. To be called periodically. */
+    fun update(now: Moment): List<PromptPartId> {
+        quarantinedUntil.removeIf { now >= it }
+        published.removeIf { now - it > PUBLISH_TIME }
+        suspects.entries.forEach { it.value.expire(now) }
+        // Of two parts that occur together, the one that occurs less often elsewhere is more likely the cause.
+        val candidates = suspects.entries.filter { (part, suspect) -> isDue(part, suspect, now) }
+            .sortedWith(compareBy({ it.value.requests.size }, { sent[it.key] ?: 0 })).map { it.key }
+        return candidates.filter { part ->
+            val explained = quarantinedUntil.keys.flatMapTo(HashSet()) { suspects[it]?.requests.orEmpty() }
+            val suspect = suspects[part]
+            val isGuilty =
+                suspect != null && suspect.crashes(explained) >= CRASHES && suspect.requests(explained) >= REQUESTS
+            if (isGuilty) quarantinedUntil[part] = now + QUARANTINE_TIME
+            isGuilty
+        }
+    }
+
+    /** What the other entries should learn from this one. */
+    fun report(now: Moment) = QuarantineReport(
+        evidence = published.keys.toList(),
+        answered = suspects.keys.filter { wasAnsweredHere(it, now) },
+        quarantined = quarantinedUntil.entries.map { (part, until) ->
+            QuarantinedPart(part, (until - now).inWholeMilliseconds)
+        },
+    )
+
+    private fun add(evidence: CrashEvidence, now: Moment) =
+        suspects.getOrPut(evidence.part) { Suspect() }.add(evidence, now)
+
+    private fun clear(part: PromptPartId) {
+        suspects[part]?.clear()
+        quarantinedUntil -= part
+    }
+
+    private fun isDue(part: PromptPartId, suspect: Suspect, now: Moment): Boolean =
+        part !in quarantinedUntil && !isSound(part, now) && suspect.age(now) >= OBJECTION_TIME
+
+    private fun isSound(part: PromptPartId, now: Moment): Boolean =
+        wasAnsweredHere(part, now) || answeredElsewhereAt[part]?.let { now - it < ANSWERED_ELSEWHERE_TIME } ?: false
+
+    private fun wasAnsweredHere(part: PromptPartId, now: Moment): Boolean =
+        answeredAt[part]?.let { now - it < ANSWERED_TIME } ?: false
+
+    private companion object {
+        /** Crashes that a part must have in common; two by chance are not rare when several engines crash at once. */
+        const val CRASHES = 3
+
+        /** A request that is unlucky several times still counts as one. */
+        const val REQUESTS = 3
+        const val CRASHES_BEFORE_NO_REPEAT = 2
+
+        /** In this time other entries receive the evidence and report that they have answers to such requests. */
+        val OBJECTION_TIME: Duration = 800.milliseconds
+
+        /** A part that was answered within this time is cleared. */
+        val ANSWERED_TIME: Duration = 60.seconds
+
+        /** Reports of other entries are repeated several times in this time. */
+        val ANSWERED_ELSEWHERE_TIME: Duration = 5.seconds
+        val QUARANTINE_TIME: Duration = 10.minutes
+
+        /** Several reports are sent within this time, so that the loss of one has no effect. */
+        val PUBLISH_TIME: Duration = 3.seconds
+        const val MAX_PUBLISHED = 48
+        const val MAX_SUSPECTS = 128
+        const val MAX_QUARANTINED = 24
+        const val MAX_ANSWERED = 4_096
+    }
+}
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.front.FrontLimits
+import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.StorePollIntervals
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
@@ -63,6 +64,7 @@
     private val traffic = UpstreamTraffic()
     private val peerLoads = PeerLoads()
     private val inFlight = InFlightTable()
+    private val quarantine = PromptQuarantine()
     private val observations = UpstreamObservations(registry, traffic, clock)
     private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
     private val pollIntervals = StorePollIntervals(settings.drainNotice, settings.configurationBound)
@@ -106,6 +108,7 @@
         retries = RetryBudgets(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
             membership.registered.entries
         },
+        quarantine = quarantine,
         engines = ports.engines,
         share = { membership.registered },
         inFlight = inFlight,
@@ -118,6 +121,7 @@
         loads = peerLoads,
         peers = { membership.registered.peers },
         observations = observations,
+        quarantine = quarantine,
         dutyTerm = membership::dutyTerm,
         onReportedDown = inFlight::onEngineDown,
         onPeerMessage = membership::onPeerMessage,
@@ -148,6 +152,7 @@
         context.onEngineDetectedDown = { gossip.send(clock()) }
         timers.every("event loop", StallWatch.PERIOD, EventLoopMonitor(inFlight::size)::tick)
         timers.every("stalls", StallWatch.PERIOD, context.stallWatch::tick)
+        timers.every("quarantine", QUARANTINE_TICK, context.crashWatch::tick)
         timers.every("deadlines", DEADLINE_TICK) { inFlight.tick(it) }
         timers.every("early requests", DEADLINE_TICK) { router.tick(it) }
         timers.every("idle connections", IDLE_TICK) { closeIdle() }
@@ -225,6 +230,7 @@
         /** Deadlines may be exceeded by up to this time. */
         val DEADLINE_TICK = 40.milliseconds
         val IDLE_TICK = 1.seconds
+        val QUARANTINE_TICK = 100.milliseconds
 
         /**
          * How long requests are still accepted after readiness turned false. Load balancers check it once a second and
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.PlaceId
 import io.mimosatrail.core.path.LinkBudget
+import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.gateway.follow.RegisteredEntries
@@ -20,6 +21,7 @@
     val pool: ConnectionPool,
     upstreams: UpstreamState,
     val retries: RetryBudgets,
+    val quarantine: PromptQuarantine,
     val engines: EngineControl,
     val share: () -> RegisteredEntries,
     val inFlight: InFlightTable,
@@ -42,6 +44,7 @@
         clock,
         scope,
     )
+    val crashWatch = CrashWatch(engines, quarantine, clock, scope)
     val stallSearch = StallSearch(engines, registry, traffic, clock, scope, ::onEngineDown)
     val stallWatch = StallWatch(registry, traffic, engines, inFlight::streamActivities, clock, scope, ::onEngineDown)
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -2,6 +2,7 @@
 
 import io.mimosatrail.core.front.RouteKind
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PromptPartId
 import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.outcome.Outcome
 import io.mimosatrail.core.outcome.Refusal
@@ -15,6 +16,7 @@
 import io.mimosatrail.gateway.net.ConnectionKey
 import io.mimosatrail.gateway.net.Lease
 import io.mimosatrail.gateway.wire.OrderOutcome
+import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -74,6 +76,7 @@
     }
 
     private fun sendNext() {
+        context.quarantine.find(call.fields.sharedParts, context.clock())?.let { return finish(quarantineRefusal(it)) }
         val target = preparedTarget ?: choose() ?: return onNoTarget()
         preparedTarget = null
         noTargetSince = null
@@ -125,6 +128,7 @@
     private fun maySendAgain(): Boolean {
         if (!history.maySendAgain() || context.clock() + MIN_TIME_FOR_SEND >= call.deadline) return false
         if (response.hasBegun && !call.route.isResumable) return false
+        if (!history.hasNotRun && context.quarantine.isSuspect(call.fields.sharedParts, context.clock())) return false
         return preparedTarget != null || acquireRetry()
     }
 
@@ -177,6 +181,14 @@
         context.inFlight -= this
     }
 
+    private fun quarantineRefusal(part: PromptPartId) = refusal(
+        if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN,
+        RefusalReason.QUARANTINED,
+        Step.ROUTE,
+        null,
+        "upstreams crashed under requests with prompt part $part",
+    )
+
     private fun noTargetRefusal() = refusal(
         if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN,
         RefusalReason.NO_UPSTREAM,
@@ -307,7 +319,12 @@
             if (call.route.isRepeatable && prepareRetry()) exchange.fail(SendEnd.SILENT, detail)
         }
 
-        override fun onFailed(end: SendEnd, detail: String) = onFailed(this, end, detail)
+        override fun onFailed(end: SendEnd, detail: String) {
+            if (end == SendEnd.BROKEN && exchange.hasJustBegun) {
+                context.crashWatch.onBroken(target.upstream, call.fields.promptParts)
+            }
+            onFailed(this, end, detail)
+        }
 
         override fun mayReplaceFailure(): Boolean = call.route.kind == RouteKind.IDEMPOTENT && prepareRetry()
 
@@ -315,6 +332,9 @@
             release()
             attempt = null
             history.onAnswered()
+            if (response.status == HttpResponseStatus.OK.code()) {
+                context.quarantine.onAnswered(call.fields.sharedParts, context.clock())
+            }
             context.meters.onSendEnd("ANSWERED")
             val took = context.clock() - call.caller.receivedAt
             log("answered", this, "status" to response.status, "took" to took, *response.timing.logFields())
@@ -331,6 +351,7 @@
 
         private fun send(lease: Lease.Ready) {
             history.onSend(target.upstream.id)
+            if (history.sends == 1) context.quarantine.onSent(call.fields.sharedParts)
             val prompt = call.fields.promptParts.joinToString("/")
             log(if (history.sends == 1) "sent" else "sent-again", this, "prompt" to prompt)
             exchange.send(lease.connection)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -62,10 +62,15 @@
     private val splitter = EventSplitter()
     private var sentAt: Moment = context.clock()
     private var lastActivity: Moment = sentAt
+    private var firstEventAt: Moment? = null
+    private var isWellUnderWay = false
 
     /** True once bytes of the request may have been sent. */
     val isSent: Boolean get() = connection != null
 
+    /** True from the head of the answer until its events have been arriving for [CRASH_DELAY]. */
+    val hasJustBegun: Boolean get() = headers != null && !isWellUnderWay
+
     fun send(connection: UpstreamConnection) {
         this.connection = connection
         sentAt = context.clock()
@@ -171,9 +176,17 @@
             headers?.let { response.begin(status, it) }
             response.sendEvent(event)
         }
+        checkProgress()
         if (!response.isWritable) connection?.setReading(false)
     }
 
+    private fun checkProgress() {
+        val firstAt = firstEventAt ?: lastActivity.also { firstEventAt = it }
+        if (isWellUnderWay || lastActivity - firstAt < CRASH_DELAY) return
+        isWellUnderWay = true
+        context.quarantine.onAnswered(call.fields.sharedParts, lastActivity)
+    }
+
     private fun finishStream() {
         if (splitter.hasIncompleteEvent) return callbacks.onFailed(SendEnd.BROKEN, "the stream ended within an event")
         complete {
@@ -258,6 +271,9 @@
         const val SILENCE_FACTOR = 3
         val MIN_SILENCE_LIMIT = 250.milliseconds
 
+        /** An engine that crashes because of a request does so within this time after its first event. */
+        val CRASH_DELAY = 500.milliseconds
+
         /** Callers abandon a stream after a pause of two seconds; this leaves time to continue at another upstream. */
         val MAX_SILENCE = 1_300.milliseconds
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logProblem
@@ -39,6 +40,7 @@
     private val loads: PeerLoads,
     private val peers: () -> List<PeerAddress>,
     private val observations: UpstreamObservations,
+    private val quarantine: PromptQuarantine,
     private val dutyTerm: () -> Long?,
     private val onReportedDown: (InstanceId) -> Unit,
     private val onPeerMessage: (InstanceId, Long?) -> Unit,
@@ -66,8 +68,15 @@
         val open = channel ?: return
         val all = peers()
         if (all.isEmpty()) return
-        val message =
-            LoadMessage(self, ++number, traffic.loads(), traffic.detectedDown(now), observations.recent(), dutyTerm())
+        val message = LoadMessage(
+            self,
+            ++number,
+            traffic.loads(),
+            traffic.detectedDown(now),
+            observations.recent(),
+            dutyTerm(),
+            quarantine.report(now),
+        )
         val bytes = Cbor.encodeToByteArray(message)
         repeat(minOf(PEERS_PER_ROUND, all.size)) {
             val peer = all[nextPeer++ % all.size]
@@ -81,6 +90,9 @@
         loads.onReport(message.from, message.number, message.loads, now)
         onPeerMessage(message.from, message.dutyTerm)
         message.observations.forEach(observations::onObservation)
+        quarantine.onReport(message.quarantine, now).forEach { part ->
+            logProblem("gossip", "part-quarantined", "part" to part, "from" to message.from)
+        }
         for (engine in message.detectedDown) {
             if (traffic.onReportedDown(engine, now)) onReportedDown(engine)
         }
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
@@ -13,6 +13,7 @@
 import io.mimosatrail.core.path.PathSegment
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.placement.AcceleratorProfile
+import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.time.systemClock
 import io.netty.channel.EventLoop
@@ -32,6 +33,7 @@
         loads = loads,
         peers = peers,
         observations = UpstreamObservations(UpstreamRegistry(), traffic, systemClock),
+        quarantine = PromptQuarantine(),
         dutyTerm = { null },
         onReportedDown = {},
         onPeerMessage = { _, _ -> },
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerFleet.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerFleet.kt
@@ -12,6 +12,13 @@
     /** Number of times that the runners started to run the request with this attempt ID. */
     fun runCount(id: String): Int = runs[id]?.get() ?: 0
 
+    /** Runners crash as they begin to answer a request whose prompt contains this part. Null if there is none. */
+    @Volatile
+    var crashingPart: String? = null
+
+    /** Number of crashes under [crashingPart]. */
+    val crashes = AtomicInteger()
+
     /** Makes the runners refuse the next [count] requests without running them. */
     fun refuseNext(count: Int) = pendingRefusals.set(count)
 
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerStandin.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerStandin.kt
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val HEARTBEAT_MILLIS = 100L
+private const val RESTART_MILLIS = 300L
 private const val ATTEMPT_ID_HEADER = "X-Mimosatrail-Attempt-Id"
 private const val SEAL_HEADER = "X-Mimosatrail-Runner-Seal"
 
@@ -36,7 +37,13 @@
 ) : AutoCloseable {
     private val server = LoopbackServer(::serve)
     private val heartbeats = Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
-    private val startedAtMillis = System.currentTimeMillis()
+
+    @Volatile
+    private var startedAtMillis = System.currentTimeMillis()
+
+    /** The runner is back from a crash at this time, in Unix milliseconds. */
+    @Volatile
+    private var restartedAtMillis = 0L
     private val orders = AtomicInteger()
     private val responsesToDrop = AtomicInteger()
 
@@ -90,6 +97,7 @@
     private fun layersJson() = layers?.let { """[{"Source":${it.first},"To":${it.last + 1},"Version":1}]""" } ?: "[]"
 
     private fun serve(exchange: HttpExchange) {
+        if (System.currentTimeMillis() < restartedAtMillis) return
         val body = exchange.requestBody.readAllBytes().decodeToString()
         val path = exchange.requestURI.path
         when {
@@ -132,6 +140,13 @@
         if (path == null) exchange.respond(200, """{"by":"${settings.id}"}""") else sendEvents(exchange, path)
     }
 
+    /** Breaks off all answers and leaves connections without any until the runner is back. */
+    private fun crash() {
+        fleet.crashes.incrementAndGet()
+        restartedAtMillis = System.currentTimeMillis() + RESTART_MILLIS
+        startedAtMillis = restartedAtMillis
+    }
+
     private fun refuse(exchange: HttpExchange, faultyAddress: String) {
         exchange.responseHeaders["X-Mimosatrail-Not-Executed"] = "1"
         exchange.responseHeaders["At-Server"] = faultyAddress
@@ -144,7 +159,15 @@
         val lastEvent = exchange.requestHeaders.getFirst("Last-Event-Id")?.toInt() ?: 0
         exchange.responseHeaders["Content-Type"] = "text/event-stream"
         exchange.sendResponseHeaders(200, 0)
+        val crashingPart = fleet.crashingPart
+        val prompt = exchange.requestHeaders.getFirst("X-Mimosatrail-Prompt-Prefix").orEmpty()
+        if (crashingPart != null && crashingPart in prompt) {
+            exchange.responseBody.write("id: ${lastEvent + 1}\nda".toByteArray())
+            exchange.responseBody.flush()
+            return crash()
+        }
         for (event in lastEvent + 1..settings.eventCount) {
+            if (System.currentTimeMillis() < restartedAtMillis) return
             while (stages.any { fleet.runners[it.address]?.isDown != false }) {
                 if (isDown) return
                 Thread.sleep(settings.eventIntervalMillis)
