Bound what is read of an answer that does not end

What callers could see: an upstream in trouble that sends bytes without end made the entry run out of memory (in an answer to a report, an order or a call of the store, and in a stream without events), kept a refused request waiting until its deadline and then answered 504 though it had not run, and kept a stream that had stalled from being resumed, since any byte counted as activity.

Cause: the event splitter and the control client buffered without limit, and a refusal was read to its end. Class of the fault: unbounded input from a peer.

Change: an event of more than 64 KiB and a control answer of more than 4 MiB end the exchange; a refusal takes effect after 64 KiB at the latest; only complete events count as activity of a stream.

Heads, lines and chunk sizes without end were bounded before; so was the handling of streams without a length that end inside an event. Tests for these were missing and are part of the same specs.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
@@ -14,6 +14,9 @@
     /** True while bytes of an incomplete event are buffered. */
     val hasIncompleteEvent: Boolean get() = length > 0
 
+    /** True if the incomplete event is longer than any event of an engine, so that the stream can't be one. */
+    val isOverlong: Boolean get() = length > MAX_EVENT_BYTES
+
     /** Reads [bytes] and passes each event that is now complete to [onEvent], which takes ownership of its bytes. */
     fun add(bytes: ByteBuf, onEvent: (StreamEvent) -> Unit) {
         append(bytes)
@@ -71,6 +74,9 @@
 
     private companion object {
         const val INITIAL_BYTES = 1024
+
+        /** An event holds a few tokens; the limit leaves room for several hundred with their metadata. */
+        const val MAX_EVENT_BYTES = 64 * 1024
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         val ID_FIELD = "id:".toByteArray()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -58,6 +58,7 @@
 
     /** How the send ends if the upstream refused the request. */
     private var refusalEnd = SendEnd.REJECTED
+    private var discardedBytes = 0
     private val body = Unpooled.buffer(INITIAL_BODY_BYTES)
     private val splitter = EventSplitter()
     private var sentAt: Moment = context.clock()
@@ -130,12 +131,13 @@
     }
 
     override fun onBody(part: ByteBuf) {
+        if (mode == Mode.STREAMING) return onStreamBytes(part)
         lastActivity = context.clock()
         when (mode) {
-            Mode.STREAMING -> onStreamBytes(part)
             Mode.RELAYING -> relay(part)
             Mode.BUFFERING -> buffer(part)
-            Mode.DISCARDING, Mode.WAITING -> Unit
+            Mode.DISCARDING -> discard(part)
+            Mode.STREAMING, Mode.WAITING -> Unit
         }
     }
 
@@ -171,12 +173,20 @@
         )
     }
 
+    /** Counts what is dropped of a refusal, since the request is sent elsewhere only once the refusal has ended. */
+    private fun discard(bytes: ByteBuf) {
+        discardedBytes += bytes.readableBytes()
+        if (discardedBytes > MAX_DISCARDED_BYTES) fail(refusalEnd, "the upstream answered ${status.code()}, not run")
+    }
+
     private fun onStreamBytes(bytes: ByteBuf) {
         splitter.add(bytes) { event ->
+            lastActivity = context.clock()
             headers?.let { response.begin(status, it) }
             response.sendEvent(event)
+            checkProgress()
         }
-        checkProgress()
+        if (splitter.isOverlong) return fail(SendEnd.GARBLED, "the stream contains bytes that are no event")
         if (!response.isWritable) connection?.setReading(false)
     }
 
@@ -267,6 +277,9 @@
         /** A larger response is relayed before it is complete; a retry cannot replace it any more then. */
         const val MAX_BUFFERED_BYTES = 512 * 1024
 
+        /** Longest refusal after which the connection is kept. */
+        const val MAX_DISCARDED_BYTES = 64 * 1024
+
         /** In multiples of the route's latency objective: a later response is assumed to be lost, not just slow. */
         const val SILENCE_FACTOR = 3
         val MIN_SILENCE_LIMIT = 250.milliseconds
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
@@ -74,6 +74,9 @@
 
         override fun onBody(part: ByteBuf) {
             part.readBytes(body, part.readableBytes())
+            if (body.size() <= MAX_BODY_BYTES) return
+            connection?.abort()
+            end(HttpResult.Lost("the answer is longer than $MAX_BODY_BYTES bytes"))
         }
 
         override fun onEnd() = end(HttpResult.Answered(status, body.toByteArray()))
@@ -95,6 +98,9 @@
     private companion object {
         /** Calls to one address that may run at the same time; further calls wait. */
         const val MAX_CONCURRENT_CALLS = 8
+
+        /** The store's longest answers hold a page of up to a megabyte, encoded as text. */
+        const val MAX_BODY_BYTES = 4 * 1024 * 1024
     }
 }
 
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/net/RawServer.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/net/RawServer.kt
@@ -35,5 +35,10 @@
     getOutputStream().flush()
 }
 
+/** Sends [piece] again and again until the peer closes the connection. */
+internal fun Socket.sendEndlessly(piece: String) {
+    while (true) send(piece)
+}
+
 /** Makes the next close send a TCP reset. */
 internal fun Socket.resetOnClose() = setSoLinger(true, 0)
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/net/UpstreamConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/net/UpstreamConnectionTest.kt
@@ -87,6 +87,15 @@
                 },
                 Case("closed before the status line", SendEnd.BROKEN) { },
                 Case("not HTTP", SendEnd.GARBLED) { it.send("garbage\r\n\r\n") },
+                Case("bytes without end and without a line", SendEnd.GARBLED) { it.sendEndlessly("x".repeat(1_000)) },
+                Case("a head without end", SendEnd.GARBLED) {
+                    it.send("HTTP/1.1 200 OK\r\n")
+                    it.sendEndlessly("X-Field: ${"x".repeat(100)}\r\n")
+                },
+                Case("a chunk size without end", SendEnd.GARBLED) {
+                    it.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    it.sendEndlessly("2;extension")
+                },
                 Case("complete, after an interim answer", null) {
                     it.send("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
                 },
