Keep quarantined prompt parts across a restart of all entries

The quarantine lived in the entries only: after all of them had lost power, the same requests would have crashed engines again until enough evidence was found anew. The entry that quarantines a part now writes it to the store under a lease of ten minutes, the length of a quarantine, and each entry reads these keys once after its start. QuarantineKeeperTest (written with the change; there was nothing to keep before) restarts all entries beside a store that refuses calls. Cost: one read a start, two calls a quarantined part.

--- a/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
@@ -87,6 +87,9 @@
         }
     }
 
+    /** Quarantines [parts], which were quarantined before a restart. */
+    fun restore(parts: List<PromptPartId>, now: Moment) = parts.forEach { quarantinedUntil[it] = now + QUARANTINE_TIME }
+
     /** What the other entries should learn from this one. */
     fun report(now: Moment) = QuarantineReport(
         evidence = published.keys.toList(),
@@ -113,29 +116,31 @@
     private fun wasAnsweredHere(part: PromptPartId, now: Moment): Boolean =
         answeredAt[part]?.let { now - it < ANSWERED_TIME } ?: false
 
-    private companion object {
+    companion object {
+        /** Time for which requests with a part are refused. */
+        val QUARANTINE_TIME: Duration = 10.minutes
+
         /** Crashes that a part must have in common; two by chance are not rare when several engines crash at once. */
-        const val CRASHES = 3
+        private const val CRASHES = 3
 
         /** A request that is unlucky several times still counts as one. */
-        const val REQUESTS = 3
-        const val CRASHES_BEFORE_NO_REPEAT = 2
+        private const val REQUESTS = 3
+        private const val CRASHES_BEFORE_NO_REPEAT = 2
 
         /** In this time other entries receive the evidence and report that they have answers to such requests. */
-        val OBJECTION_TIME: Duration = 800.milliseconds
+        private val OBJECTION_TIME: Duration = 800.milliseconds
 
         /** A part that was answered within this time is cleared. */
-        val ANSWERED_TIME: Duration = 60.seconds
+        private val ANSWERED_TIME: Duration = 60.seconds
 
         /** Reports of other entries are repeated several times in this time. */
-        val ANSWERED_ELSEWHERE_TIME: Duration = 5.seconds
-        val QUARANTINE_TIME: Duration = 10.minutes
+        private val ANSWERED_ELSEWHERE_TIME: Duration = 5.seconds
 
         /** Several reports are sent within this time, so that the loss of one has no effect. */
-        val PUBLISH_TIME: Duration = 3.seconds
-        const val MAX_PUBLISHED = 48
-        const val MAX_SUSPECTS = 128
-        const val MAX_QUARANTINED = 24
-        const val MAX_ANSWERED = 4_096
+        private val PUBLISH_TIME: Duration = 3.seconds
+        private const val MAX_PUBLISHED = 48
+        private const val MAX_SUSPECTS = 128
+        private const val MAX_QUARANTINED = 24
+        private const val MAX_ANSWERED = 4_096
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -14,6 +14,7 @@
 import io.mimosatrail.gateway.duty.PlacementDuty
 import io.mimosatrail.gateway.follow.ConfigurationFollower
 import io.mimosatrail.gateway.follow.EntryMembership
+import io.mimosatrail.gateway.follow.QuarantineKeeper
 import io.mimosatrail.gateway.follow.RegistryFollower
 import io.mimosatrail.gateway.forward.ForwardContext
 import io.mimosatrail.gateway.forward.ForwardMeters
@@ -128,6 +129,7 @@
         loop = loop,
         clock = clock,
     )
+    private val quarantineKeeper = QuarantineKeeper(ports.store, quarantine, clock)
     private var isStopping = false
     private var isRefusing = false
     private var wasReady = false
@@ -152,7 +154,7 @@
         context.onEngineDetectedDown = { gossip.send(clock()) }
         timers.every("event loop", StallWatch.PERIOD, EventLoopMonitor(inFlight::size)::tick)
         timers.every("stalls", StallWatch.PERIOD, context.stallWatch::tick)
-        timers.every("quarantine", QUARANTINE_TICK, context.crashWatch::tick)
+        timers.every("quarantine", QUARANTINE_TICK) { context.crashWatch.tick(it, quarantineKeeper::save) }
         timers.every("deadlines", DEADLINE_TICK) { inFlight.tick(it) }
         timers.every("early requests", DEADLINE_TICK) { router.tick(it) }
         timers.every("idle connections", IDLE_TICK) { closeIdle() }
@@ -166,6 +168,7 @@
         scope.launch { registryFollower.run() }
         scope.launch { membership.run() }
         scope.launch { duty.run() }
+        scope.launch { quarantineKeeper.run() }
         logEvent("gateway", "started", "settings" to settings)
     }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
@@ -0,0 +1,77 @@
+package io.mimosatrail.gateway.follow
+
+import io.mimosatrail.core.id.PromptPartId
+import io.mimosatrail.core.quarantine.PromptQuarantine
+import io.mimosatrail.core.store.StoreCall
+import io.mimosatrail.core.store.StoreCommand
+import io.mimosatrail.core.store.StoreKey
+import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.time.Clock
+import io.mimosatrail.gateway.log.logEvent
+import io.mimosatrail.gateway.log.logProblem
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.seconds
+
+private val QUARANTINE = StoreKey("mimosatrail/quarantine")
+
+/**
+ * Keeps [quarantine] across a restart of all entries: writes the parts that this entry quarantines to the store, under
+ * leases that end with the quarantine, and reads them once after the start.
+ */
+internal class QuarantineKeeper(
+    private val store: StoreCall,
+    private val quarantine: PromptQuarantine,
+    private val clock: Clock,
+) {
+    private val unsaved = LinkedHashSet<PromptPartId>()
+    private val outageLog = StoreOutageLog("quarantine")
+
+    /** Has [part] written to the store. */
+    fun save(part: PromptPartId) {
+        if (part.value.length <= MAX_PART_LENGTH) unsaved += part
+    }
+
+    /** Reads what was quarantined before, then writes what is quarantined now, until cancelled. */
+    suspend fun run() {
+        while (!restore()) delay(PERIOD)
+        while (true) {
+            unsaved.toList().forEach { if (write(it)) unsaved -= it }
+            delay(PERIOD)
+        }
+    }
+
+    private suspend fun restore(): Boolean {
+        val listing = store.listAll(QUARANTINE / "")
+        if (listing !is Listing.Complete) {
+            outageLog.onFailure((listing as Listing.Failed).reply)
+            return false
+        }
+        outageLog.onAnswer()
+        val parts = listing.values.map { PromptPartId(it.value.decodeToString()) }
+        quarantine.restore(parts, clock())
+        parts.forEach { logProblem("quarantine", "restored", "part" to it) }
+        return true
+    }
+
+    private suspend fun write(part: PromptPartId): Boolean {
+        val granted = store(StoreCommand.Grant(PromptQuarantine.QUARANTINE_TIME))
+        val put = StoreCommand.Put(QUARANTINE / part.value, part.value.encodeToByteArray(), null, granted.leaseOrNull())
+        val reply = if (granted is StoreReply.Lease) store(put) else granted
+        if (reply !is StoreReply.Written) {
+            outageLog.onFailure(reply)
+            return false
+        }
+        outageLog.onAnswer()
+        logEvent("quarantine", "saved", "part" to part)
+        return true
+    }
+
+    private fun StoreReply.leaseOrNull() = (this as? StoreReply.Lease)?.id
+
+    private companion object {
+        val PERIOD = 1.seconds
+
+        /** Keys of the store have at most 200 bytes. */
+        const val MAX_PART_LENGTH = 64
+    }
+}
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CrashWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CrashWatch.kt
@@ -37,9 +37,10 @@
         if (isFirst) scope.launch { probe(engine, crash) }
     }
 
-    /** Quarantines the parts against which there is enough evidence. To be called periodically. */
-    fun tick(now: Moment) = quarantine.update(now).forEach { part ->
+    /** Quarantines the parts against which there is enough evidence and passes them to [onQuarantined]. */
+    fun tick(now: Moment, onQuarantined: (PromptPartId) -> Unit) = quarantine.update(now).forEach { part ->
         logProblem("crash", "part-quarantined", "part" to part)
+        onQuarantined(part)
     }
 
     private suspend fun probe(engine: UpstreamRecord, crash: EngineCrash) {
--- /dev/null
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeperTest.kt
@@ -0,0 +1,57 @@
+package io.mimosatrail.gateway.follow
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.mimosatrail.core.id.LeaseId
+import io.mimosatrail.core.id.PromptPartId
+import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.quarantine.PromptQuarantine
+import io.mimosatrail.core.store.StoreCommand
+import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoredValue
+import io.mimosatrail.core.time.Moment
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import kotlin.time.Duration.Companion.seconds
+
+private val start = Moment(0)
+private val part = PromptPartId("bad")
+
+/** A store that refuses the first [refusals] calls. */
+private class RefusingStore(var refusals: Int) {
+    val values = mutableListOf<StoredValue>()
+
+    fun answer(command: StoreCommand): StoreReply = when {
+        refusals-- > 0 -> StoreReply.NotDone("busy")
+        command is StoreCommand.Grant -> StoreReply.Lease(LeaseId(7), command.ttl)
+        command is StoreCommand.List -> StoreReply.Values(values.toList(), more = false)
+        command is StoreCommand.Put && command.lease == LeaseId(7) -> {
+            values += StoredValue(command.key, command.value, StoreRevision(1), StoreRevision(1))
+            StoreReply.Written(StoreRevision(1))
+        }
+        else -> StoreReply.NotDone("not used here")
+    }
+}
+
+class QuarantineKeeperTest :
+    FunSpec({
+        // Guards against crashes that start again after all entries have lost power.
+        test("a quarantine survives a restart of all entries, even if the store refuses calls for a while") {
+            runTest {
+                val store = RefusingStore(refusals = 3)
+                val keeper = QuarantineKeeper({ store.answer(it) }, PromptQuarantine(), clock = { start })
+                val before = launch { keeper.run() }
+                keeper.save(part)
+                delay(10.seconds)
+                before.cancel()
+
+                val restarted = PromptQuarantine()
+                store.refusals = 2
+                val after = launch { QuarantineKeeper({ store.answer(it) }, restarted, clock = { start }).run() }
+                delay(5.seconds)
+                after.cancel()
+                restarted.find(listOf(part), start) shouldBe part
+            }
+        }
+    })
