Wait for objections as long as gossip takes to reach all entries

The wait is now two rounds of gossip over all entries, at most 2.4 s. CrashStormTest uses the same time and still keeps its bound of three requests.

--- a/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
@@ -15,9 +15,11 @@
  * request that contains it has been answered recently. Requests with a part that is already quarantined are no evidence
  * against their other parts.
  *
- * Entries share what they observe, since one entry sees only a fraction of the crashes and answers. Not thread-safe.
+ * Entries share what they observe, since one entry sees only a fraction of the crashes and answers. Before a part is
+ * quarantined, the others have [objectionTime] to receive the evidence and to report that they have answers to requests
+ * with it. Not thread-safe.
  */
-class PromptQuarantine {
+class PromptQuarantine(private val objectionTime: () -> Duration = { 800.milliseconds }) {
     private val suspects = RecentMap<PromptPartId, Suspect>(MAX_SUSPECTS)
 
     /** Time of the last answer that this entry received to a request with the part. */
@@ -108,7 +110,7 @@
     }
 
     private fun isDue(part: PromptPartId, suspect: Suspect, now: Moment): Boolean =
-        part !in quarantinedUntil && !isSound(part, now) && suspect.age(now) >= OBJECTION_TIME
+        part !in quarantinedUntil && !isSound(part, now) && suspect.age(now) >= objectionTime()
 
     private fun isSound(part: PromptPartId, now: Moment): Boolean =
         wasAnsweredHere(part, now) || answeredElsewhereAt[part]?.let { now - it < ANSWERED_ELSEWHERE_TIME } ?: false
@@ -127,9 +129,6 @@
         private const val REQUESTS = 3
         private const val CRASHES_BEFORE_NO_REPEAT = 2
 
-        /** In this time other entries receive the evidence and report that they have answers to such requests. */
-        private val OBJECTION_TIME: Duration = 800.milliseconds
-
         /** A part that was answered within this time is cleared. */
         private val ANSWERED_TIME: Duration = 60.seconds
 
--- a/core/src/test/kotlin/io/mimosatrail/core/quarantine/CrashStorm.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/quarantine/CrashStorm.kt
@@ -25,6 +25,10 @@
 
 private val bad = PromptPartId("bad")
 
+/** Two rounds of gossip in which each entry reaches all others. */
+private fun objectionTime(entries: Int): Duration =
+    TICK * TICKS_BETWEEN_GOSSIP * (2 * ((entries + PEERS_PER_ROUND - 2) / PEERS_PER_ROUND)) + 300.milliseconds
+
 /**
  * Engines that crash under requests with the part `bad`, before [entries] entries that send [perSecond] requests a
  * second. One in [badOneIn] of them contains the part. A third of the messages between entries is lost.
@@ -41,7 +45,7 @@
     }
 
     private val random = Random(seed)
-    private val quarantines = List(entries) { PromptQuarantine() }
+    private val quarantines = List(entries) { PromptQuarantine { objectionTime(entries) } }
     private val running = List(engineCount) { mutableListOf<Request>() }
     private val downUntil = Array(engineCount) { Moment(0) }
     private var requests = 0
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -65,9 +65,9 @@
     private val traffic = UpstreamTraffic()
     private val peerLoads = PeerLoads()
     private val inFlight = InFlightTable()
-    private val quarantine = PromptQuarantine()
     private val observations = UpstreamObservations(registry, traffic, clock)
     private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
+    private val quarantine = PromptQuarantine { LoadGossip.replyTime(membership.registered.peers.size) }
     private val pollIntervals = StorePollIntervals(settings.drainNotice, settings.configurationBound)
     private val configurationFollower = ConfigurationFollower(
         ports.store,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -24,6 +24,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import java.net.InetSocketAddress
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -118,6 +119,17 @@
         /** Streams last for seconds, so loads change slowly enough for a few messages per second. */
         val PERIOD = 240.milliseconds
 
+        /** Time in which each of [peers] other entries receives the state of this one, and this one theirs. */
+        fun replyTime(peers: Int): Duration {
+            val rounds = (peers + PEERS_PER_ROUND - 1) / PEERS_PER_ROUND
+            return (PERIOD * rounds * 2 + REPLY_MARGIN).coerceAtMost(MAX_REPLY_TIME)
+        }
+
+        private val REPLY_MARGIN = 300.milliseconds
+
+        /** With many entries some don't reply in time; three seconds are the most that any decision can wait. */
+        private val MAX_REPLY_TIME = 2_400.milliseconds
+
         /** Limits the datagrams that one entry sends, whatever the number of entries. */
         private const val PEERS_PER_ROUND = 6
 
