--- a/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/quarantine/PromptQuarantine.kt
@@ -11,7 +11,7 @@
  * Finds the parts of prompts under which engines crash. Requests whose prompts contain one are refused.
  *
  * Every request that an engine had just begun to answer when it crashed is a suspect, with all parts of its prompt but
- * the last. A part is quarantined if [CRASHES] crashes with [REQUESTS] different requests have it in common and no
+ * the last. A part is quarantined if several crashes with different requests have it in common and no
  * request that contains it has been answered recently. Requests with a part that is already quarantined are no evidence
  * against their other parts.
  *
@@ -45,7 +45,7 @@
     /** Records that a request with [parts] is sent to an engine for the first time. */
     fun onSent(parts: List<PromptPartId>) = parts.forEach { sent[it] = (sent[it] ?: 0) + 1 }
 
-    /** Records that a request with [parts] was answered, or its engine survived the start of the answer. Clears them. */
+    /** Clears [parts], since a request with them was answered or its engine survived the start of the answer. */
     fun onAnswered(parts: List<PromptPartId>, now: Moment) = parts.forEach { part ->
         answeredAt[part] = now
         clear(part)
@@ -71,7 +71,7 @@
         return added.map { it.part }
     }
 
-    /** Quarantines the parts against which there is enough evidence now, and returns them. To be called periodically. */
+    /** Quarantines the parts against which there is enough evidence, and returns them. To be called periodically. */
     fun update(now: Moment): List<PromptPartId> {
         quarantinedUntil.removeIf { now >= it }
         published.removeIf { now - it > PUBLISH_TIME }
@@ -81,11 +81,9 @@
             .sortedWith(compareBy({ it.value.requests.size }, { sent[it.key] ?: 0 })).map { it.key }
         return candidates.filter { part ->
             val explained = quarantinedUntil.keys.flatMapTo(HashSet()) { suspects[it]?.requests.orEmpty() }
-            val suspect = suspects[part]
-            val isGuilty =
-                suspect != null && suspect.crashes(explained) >= CRASHES && suspect.requests(explained) >= REQUESTS
-            if (isGuilty) quarantinedUntil[part] = now + QUARANTINE_TIME
-            isGuilty
+            val isCause = suspects[part]?.isSufficient(explained) ?: false
+            if (isCause) quarantinedUntil[part] = now + QUARANTINE_TIME
+            isCause
         }
     }
 
@@ -122,11 +120,6 @@
         /** Time for which requests with a part are refused. */
         val QUARANTINE_TIME: Duration = 10.minutes
 
-        /** Crashes that a part must have in common; two by chance are not rare when several engines crash at once. */
-        private const val CRASHES = 3
-
-        /** A request that is unlucky several times still counts as one. */
-        private const val REQUESTS = 3
         private const val CRASHES_BEFORE_NO_REPEAT = 2
 
         /** A part that was answered within this time is cleared. */
--- a/core/src/main/kotlin/io/mimosatrail/core/quarantine/Suspect.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/quarantine/Suspect.kt
@@ -27,13 +27,20 @@
     /** Number of crashes, without those of requests in [explained]. */
     fun crashes(explained: Set<PromptPartId>): Int = unexplained(explained).distinctBy { it.crash }.size
 
-    /** Number of different requests, without those in [explained]. */
-    fun requests(explained: Set<PromptPartId>): Int = unexplained(explained).distinctBy { it.request }.size
+    /** True if the evidence, without that of requests in [explained], suffices to quarantine the part. */
+    fun isSufficient(explained: Set<PromptPartId>): Boolean =
+        crashes(explained) >= CRASHES && unexplained(explained).distinctBy { it.request }.size >= REQUESTS
 
     private fun unexplained(explained: Set<PromptPartId>) = evidence.keys.filterNot { it.request in explained }
 
     private companion object {
         val EVIDENCE_TIME: Duration = 5.minutes
         const val MAX_EVIDENCE = 32
+
+        /** Two crashes in common by chance are not rare when several engines crash at once. */
+        const val CRASHES = 3
+
+        /** A request that meets with several crashes still counts as one. */
+        const val REQUESTS = 3
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -105,11 +105,10 @@
         place = settings.place,
         headers = ports.headers,
         pool = pool,
-        upstreams = UpstreamState(registry, traffic, peerLoads, observations),
+        upstreams = UpstreamState(registry, traffic, peerLoads, observations, quarantine),
         retries = RetryBudgets(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
             membership.registered.entries
         },
-        quarantine = quarantine,
         engines = ports.engines,
         share = { membership.registered },
         inFlight = inFlight,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
@@ -41,22 +41,26 @@
     }
 
     private suspend fun restore(): Boolean {
-        val listing = store.listAll(QUARANTINE / "")
-        if (listing !is Listing.Complete) {
-            outageLog.onFailure((listing as Listing.Failed).reply)
-            return false
+        val values = when (val listing = store.listAll(QUARANTINE / "")) {
+            is Listing.Complete -> listing.values
+            is Listing.Failed -> {
+                outageLog.onFailure(listing.reply)
+                return false
+            }
         }
         outageLog.onAnswer()
-        val parts = listing.values.map { PromptPartId(it.value.decodeToString()) }
+        val parts = values.map { PromptPartId(it.value.decodeToString()) }
         quarantine.restore(parts, clock())
         parts.forEach { logProblem("quarantine", "restored", "part" to it) }
         return true
     }
 
     private suspend fun write(part: PromptPartId): Boolean {
-        val granted = store(StoreCommand.Grant(PromptQuarantine.QUARANTINE_TIME))
-        val put = StoreCommand.Put(QUARANTINE / part.value, part.value.encodeToByteArray(), null, granted.leaseOrNull())
-        val reply = if (granted is StoreReply.Lease) store(put) else granted
+        val reply = when (val granted = store(StoreCommand.Grant(PromptQuarantine.QUARANTINE_TIME))) {
+            is StoreReply.Lease ->
+                store(StoreCommand.Put(QUARANTINE / part.value, part.value.encodeToByteArray(), null, granted.id))
+            else -> granted
+        }
         if (reply !is StoreReply.Written) {
             outageLog.onFailure(reply)
             return false
@@ -66,8 +70,6 @@
         return true
     }
 
-    private fun StoreReply.leaseOrNull() = (this as? StoreReply.Lease)?.id
-
     private companion object {
         val PERIOD = 1.seconds
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
@@ -69,7 +69,8 @@
         val missingBefore = registry.missing
         val changes = registry.onListing(values.mapNotNull(::toRecord), requestedAt)
         changes.forEach(::log)
-        (registry.missing - missingBefore).forEach { logEvent("registry", "upstream-missing", "upstream" to it) }
+        val added = registry.missing - missingBefore
+        added.forEach { logEvent("registry", "upstream-missing", "upstream" to it) }
         if (changes.isNotEmpty()) onChange(changes)
     }
 
@@ -102,7 +103,7 @@
         /** The store answers within milliseconds, and within a quarter of a second when it is slow. */
         val ANSWER_TIME = 400.milliseconds
 
-        /** Together with [ANSWER_TIME] and the breaker's open time, the delay after which the store's return is seen. */
+        /** Short, since a listing after the end of an outage shows what has left meanwhile. */
         val RETRY_PAUSE = 150.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -4,7 +4,6 @@
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.id.PlaceId
 import io.mimosatrail.core.path.LinkBudget
-import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.retry.RetryBudgets
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.gateway.follow.RegisteredEntries
@@ -21,7 +20,6 @@
     val pool: ConnectionPool,
     upstreams: UpstreamState,
     val retries: RetryBudgets,
-    val quarantine: PromptQuarantine,
     val engines: EngineControl,
     val share: () -> RegisteredEntries,
     val inFlight: InFlightTable,
@@ -31,6 +29,7 @@
     val registry = upstreams.registry
     val traffic = upstreams.traffic
     val peerLoads = upstreams.peerLoads
+    val quarantine = upstreams.quarantine
     val balancer = PlainBalancer(traffic, place)
     val linkBudget = LinkBudget()
     val failedSearches = FailedSearchCache()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamState.kt
@@ -2,16 +2,19 @@
 
 import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
+import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.gateway.gossip.UpstreamObservations
 
 /**
  * State of the upstreams as this entry knows it: the [registry], its own [traffic], the loads that other entries
- * reported, and the observations that entries share ahead of the registry.
+ * reported, the observations that entries share ahead of the registry, and the [quarantine] of prompts under which
+ * engines crash.
  */
 internal class UpstreamState(
     val registry: UpstreamRegistry,
     val traffic: UpstreamTraffic,
     val peerLoads: PeerLoads,
     val observations: UpstreamObservations,
+    val quarantine: PromptQuarantine,
 )
