--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/http/Problem.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/http/Problem.kt
@@ -74,5 +74,6 @@
     RefusalReason.NO_UPSTREAM,
     RefusalReason.STORE_UNAVAILABLE,
     RefusalReason.NOT_READY,
+    RefusalReason.QUARANTINED,
     -> if (outcome == Outcome.NOT_RUN) Status.SERVICE_UNAVAILABLE else Status.BAD_GATEWAY
 }
