Read and log the limits that upstreams announce on their requests

The logs did not show which upstreams announce a limit and when an entry learned of it, so they could not tell 'nobody reads it' from 'each entry knows only its own sends'. Answers to requests and to control calls are read now, and a change is one line. No decision uses it yet.

--- a/core/src/main/kotlin/io/mimosatrail/core/net/HttpResult.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/net/HttpResult.kt
@@ -2,8 +2,16 @@
 
 /** Result of an HTTP call. */
 sealed interface HttpResult {
-    /** The server responded with [status]. [tag] is the value of the ETag header, or null if there was none. */
-    class Answered(val status: Int, val body: ByteArray, val tag: String? = null) : HttpResult
+    /**
+     * The server responded with [status]. [tag] is the value of the ETag header, or null if there was none. [headers]
+     * are the other headers as far as the client collects them, by lower-case names.
+     */
+    class Answered(
+        val status: Int,
+        val body: ByteArray,
+        val tag: String? = null,
+        val headers: Map<String, String> = emptyMap(),
+    ) : HttpResult
 
     /** No byte of the request was sent. */
     data class NotSent(val detail: String) : HttpResult
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -85,6 +85,7 @@
         period = { pollIntervals.listingInterval(membership.registered.entries) },
         onChange = {
             traffic.onRegistry(it)
+            context.limits.onRegistry(it)
             logReadiness()
         },
     )
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -30,6 +30,7 @@
     val traffic = upstreams.traffic
     val peerLoads = upstreams.peerLoads
     val quarantine = upstreams.quarantine
+    val limits = UpstreamLimits(clock)
     val balancer = PlainBalancer(traffic, place)
     val linkBudget = LinkBudget()
     val failedSearches = FailedSearchCache()
@@ -50,6 +51,10 @@
     /** Called when this process itself has detected that an engine is down. */
     var onEngineDetectedDown: () -> Unit = {}
 
+    init {
+        engines.onAnnouncedRate = limits::onControlAnswer
+    }
+
     private fun onEngineDown(engine: InstanceId) {
         onEngineDetectedDown()
         inFlight.onEngineDown(engine)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -222,6 +222,7 @@
         "request" to call.fields.request,
         "target" to at?.target,
         "sends" to history.sends,
+        "upstream-limit" to at?.let { context.limits[it.target.upstream.id] },
         "configuration" to call.configurationVersion,
         "registry-age" to context.registry.age(context.clock()),
         *more,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -120,6 +120,7 @@
         }
         status = head.status()
         headers = head.headers()
+        context.limits.onAnswer(target.upstream.id, fields.announcedRate, sentAt)
         fields.load?.let { context.traffic.onLoadReport(target.upstream.id, it.running + it.waiting, lastActivity) }
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST || fields.hasNotRun) return onRefused(fields)
         mode = when {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
@@ -50,6 +50,7 @@
         private var connection: UpstreamConnection? = null
         private var pending: CancellableContinuation<HttpResult>? = null
         private var status = 0
+        private var headers = emptyMap<String, String>()
         private val body = ByteArrayOutputStream()
 
         suspend fun run(): HttpResult = suspendCancellableCoroutine { continuation ->
@@ -70,6 +71,7 @@
 
         override fun onHead(head: HttpResponse) {
             status = head.status().code()
+            headers = head.headers().associate { (name, value) -> name.lowercase() to value }
         }
 
         override fun onBody(part: ByteBuf) {
@@ -79,7 +81,7 @@
             end(HttpResult.Lost("the answer is longer than $MAX_BODY_BYTES bytes"))
         }
 
-        override fun onEnd() = end(HttpResult.Answered(status, body.toByteArray()))
+        override fun onEnd() = end(HttpResult.Answered(status, body.toByteArray(), headers = headers))
 
         override fun onFailed(end: SendEnd, detail: String) =
             end(if (end == SendEnd.NOT_SENT) HttpResult.NotSent(detail) else HttpResult.Lost(detail))
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
@@ -10,6 +10,9 @@
 
 /** Control interface of the model engines. All functions suspend until the engine responds or a time limit passes. */
 interface EngineControl {
+    /** Called for each answer in which an engine announces how many requests per second it accepts. */
+    var onAnnouncedRate: (InstanceId, Double) -> Unit
+
     /** The state that the engine reports, or null if it does not respond or its report cannot be read. */
     suspend fun report(engine: UpstreamRecord): EngineReport?
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/HeaderCodec.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/HeaderCodec.kt
@@ -61,7 +61,8 @@
  * Header fields of an upstream's response. [isSealed] is true if the response has the upstream's seal; a successful
  * response without one is not accepted. [hasNotRun] is true if the upstream states that it did not run the request;
  * [refusingEngine] is then the engine on the path that caused the refusal, or null if it is not given. [load] is null
- * if the upstream did not report its load.
+ * if the upstream did not report its load. [announcedRate] is the number of requests per second that the upstream
+ * accepts from all entries together; null if it announces no limit.
  */
 data class ResponseFields(
     val request: RequestId?,
@@ -69,6 +70,7 @@
     val hasNotRun: Boolean,
     val refusingEngine: PeerAddress?,
     val load: ReportedLoad?,
+    val announcedRate: Double? = null,
 )
 
 /** Load of an upstream: its [running] and [waiting] requests, and the number of requests that it can run at once. */
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/FakeEngines.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/FakeEngines.kt
@@ -21,6 +21,8 @@
     var reportRequests = 0
         private set
 
+    override var onAnnouncedRate: (InstanceId, Double) -> Unit = { _, _ -> }
+
     /** Engines that were probed, in order. */
     val probed = mutableListOf<InstanceId>()
 
