--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerStandin.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/RunnerStandin.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -63,6 +64,14 @@
     @Volatile
     var isDraining = false
 
+    /** Requests per second that the runner announces to accept; null if it announces no limit. */
+    @Volatile
+    var announcedLimit: Double? = null
+    private val arrivals = ConcurrentLinkedQueue<Long>()
+
+    /** Times at which requests arrived, in nanoseconds of [System.nanoTime]. */
+    val arrivalNanos: List<Long> get() = arrivals.toList()
+
     init {
         fleet.runners[server.address] = this
         heartbeats.scheduleAtFixedRate(::register, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS)
@@ -124,6 +133,8 @@
     }
 
     private fun handleRequest(exchange: HttpExchange) {
+        arrivals += System.nanoTime()
+        announcedLimit?.let { exchange.responseHeaders["Server-Limit"] = it.toString() }
         val headers = exchange.requestHeaders
         val id = headers.getFirst(ATTEMPT_ID_HEADER).orEmpty()
         val expected = headers.getFirst("X-Mimosatrail-Expected-Instance")
