Keep the limits that upstreams announce for all entries together

Cause: no entry read the announcement. An entry that did would still not have been enough, since the limit is for all entries together and each knows only its own sends. The class of the fault: a bound on the whole system that each part would check against its own share of the events only.

Entries report in their gossip which limits they know and how much they send; whoever sent more gets a larger share, and an equal share is reserved for each entry that has not reported. If there are more entries than requests to share, only some of them use the upstream. Every choice of a target asks it: the first attempt, retries, streams that continue elsewhere, and health checks after refusals. A limited engine may still be a later segment of a path. A request that no upstream can take in time is refused at once.

--- a/core/src/main/kotlin/io/mimosatrail/core/limits/AnnouncedRates.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/limits/AnnouncedRates.kt
@@ -14,13 +14,16 @@
 class AnnouncedRates {
     private val newest = HashMap<InstanceId, AnnouncedRate>()
 
+    /** The newest announcement of each upstream, ended limits included. */
+    val all: Collection<AnnouncedRate> get() = newest.values
+
     /** Requests per second that [upstream] accepts from all entries together, or null if there is no limit. */
     operator fun get(upstream: InstanceId): Double? = newest[upstream]?.perSecond
 
     /**
-     * Records what an answer of [upstream] announced. It was received at [now], and its request was sent at [sentAt]. An
-     * answer without a limit ends an announcement only if that was received before its request was sent. Returns true
-     * if the limit changed.
+     * Records what an answer of [upstream] announced. It was received at [now], and its request was sent at [sentAt].
+     * An answer without a limit ends an announcement only if that was received before its request was sent. Returns
+     * true if the limit changed.
      */
     fun onAnswer(upstream: InstanceId, perSecond: Double?, sentAt: Moment, now: Moment): Boolean =
         onAnnouncement(AnnouncedRate(upstream, perSecond, if (perSecond == null) sentAt else now))
--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathEngine.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathEngine.kt
@@ -11,7 +11,7 @@
  *
  * [tokenLayers] is the KV cache in use and [tokenLayerCapacity] its total size, both in tokens times layers.
  * [sequences] is the expected number of streams that the engine runs. [slowness] multiplies the engine's expected
- * times; 1 is normal.
+ * times; 1 is normal. [mayBeFirst] is false if no new stream may begin at it; it may still be a later segment.
  */
 data class PathEngine(
     val id: InstanceId,
@@ -23,4 +23,5 @@
     val tokenLayers: Double,
     val tokenLayerCapacity: Double,
     val slowness: Double,
+    val mayBeFirst: Boolean = true,
 )
--- a/core/src/main/kotlin/io/mimosatrail/core/path/PathTable.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/path/PathTable.kt
@@ -42,6 +42,7 @@
         for (index in engines.indices) {
             val held = engines[index].layers
             if (boundary < held.first || boundary >= held.end) continue
+            if (boundary == 0 && !engines[index].mayBeFirst) continue
             if (mayEndEarly) {
                 for (end in rangeStarts) if (end > boundary && end < held.end) extend(boundary, index, end)
             }
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/DecayingCounter.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/DecayingCounter.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Counts requests sent since the last load report. The count decays by [halfLife], since a report may never arrive. */
+/** Counts recent requests. The count decays by [halfLife]. */
 internal class DecayingCounter(private val halfLife: Duration = 4.seconds) {
     private var value = 0.0
     private var updatedAt: Moment? = null
@@ -16,6 +16,12 @@
         updatedAt = now
     }
 
+    /** Takes back one request. */
+    fun remove(now: Moment) {
+        value = (count(now) - 1).coerceAtLeast(0.0)
+        updatedAt = now
+    }
+
     fun reset() {
         value = 0.0
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamRow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/routing/UpstreamRow.kt
@@ -23,6 +23,8 @@
     internal var isDescribePending = false
     internal var draining = false
     internal val health = UpstreamHealth()
+
+    /** Requests sent since the last load report. The count decays, since a report may never arrive. */
     internal val sentSinceReport = DecayingCounter()
 
     /** Start of the warm-up: the first description or the end of the last ejection; null before either. */
--- a/core/src/test/kotlin/io/mimosatrail/core/path/PathSearchTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/path/PathSearchTest.kt
@@ -94,6 +94,16 @@
             path.isValid() shouldBe true
         }
 
+        test("a new path does not begin at an engine that may not be first, a running stream may stay on it") {
+            val first = PathSearch(siteProfile).best(engines(), typicalDemand).shouldNotBeNull().segments.first()
+            val limited = engines().map { if (it.id == first.engine.id) it.copy(mayBeFirst = false) else it }
+            val elsewhere = PathSearch(siteProfile).best(limited, typicalDemand).shouldNotBeNull()
+            elsewhere.isValid() shouldBe true
+            (elsewhere.segments.first().engine.id == first.engine.id) shouldBe false
+            val kept = PathSearch(siteProfile).best(limited, typicalDemand, first).shouldNotBeNull()
+            kept.segments.first() shouldBe first
+        }
+
         test("there is no path if a layer has no holder") {
             val fleet = engines().filter { it.layers intersect LayerRange(40, 41) == null }
             PathSearch(siteProfile).best(fleet, typicalDemand).shouldBeNull()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -21,6 +21,7 @@
 import io.mimosatrail.gateway.forward.InFlightTable
 import io.mimosatrail.gateway.forward.RequestRouter
 import io.mimosatrail.gateway.forward.StallWatch
+import io.mimosatrail.gateway.forward.UpstreamLimits
 import io.mimosatrail.gateway.forward.UpstreamState
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.front.FrontServer
@@ -68,6 +69,8 @@
     private val observations = UpstreamObservations(registry, traffic, clock)
     private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
     private val quarantine = PromptQuarantine { LoadGossip.replyTime(membership.registered.peers.size) }
+    private val limits = UpstreamLimits(settings.instance, { membership.registered }, clock)
+    private val upstreams = UpstreamState(registry, traffic, peerLoads, observations, quarantine, limits)
     private val pollIntervals = StorePollIntervals(settings.drainNotice, settings.configurationBound)
     private val configurationFollower = ConfigurationFollower(
         ports.store,
@@ -85,7 +88,7 @@
         period = { pollIntervals.listingInterval(membership.registered.entries) },
         onChange = {
             traffic.onRegistry(it)
-            context.limits.onRegistry(it)
+            limits.onRegistry(it)
             logReadiness()
         },
     )
@@ -106,7 +109,7 @@
         place = settings.place,
         headers = ports.headers,
         pool = pool,
-        upstreams = UpstreamState(registry, traffic, peerLoads, observations, quarantine),
+        upstreams = upstreams,
         retries = RetryBudgets(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
             membership.registered.entries
         },
@@ -118,11 +121,8 @@
     )
     private val gossip = LoadGossip(
         self = settings.instance,
-        traffic = traffic,
-        loads = peerLoads,
+        upstreams = upstreams,
         peers = { membership.registered.peers },
-        observations = observations,
-        quarantine = quarantine,
         dutyTerm = membership::dutyTerm,
         onReportedDown = inFlight::onEngineDown,
         onPeerMessage = membership::onPeerMessage,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/FailedSearchCache.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/FailedSearchCache.kt
@@ -7,12 +7,13 @@
 
 /**
  * Input of a path search in [service]: the search uses none of the engines in [excluded]. [firstEngine] is the engine
- * with which the path must begin, or null if it may begin with any.
+ * with which the path must begin, or null if it may begin with any but those in [notFirst].
  */
 internal data class SearchKey(
     val service: ServiceId,
     val excluded: Set<InstanceId> = emptySet(),
     val firstEngine: InstanceId? = null,
+    val notFirst: Set<InstanceId> = emptySet(),
 )
 
 /**
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -30,7 +30,7 @@
     val traffic = upstreams.traffic
     val peerLoads = upstreams.peerLoads
     val quarantine = upstreams.quarantine
-    val limits = UpstreamLimits(clock)
+    val limits = upstreams.limits
     val balancer = PlainBalancer(traffic, place)
     val linkBudget = LinkBudget()
     val failedSearches = FailedSearchCache()
@@ -41,6 +41,7 @@
         { share().entries },
         engines,
         upstreams.observations,
+        limits,
         clock,
         scope,
     )
@@ -52,7 +53,7 @@
     var onEngineDetectedDown: () -> Unit = {}
 
     init {
-        engines.onAnnouncedRate = limits::onControlAnswer
+        engines.onAnswer = limits::onAnswer
     }
 
     private fun onEngineDown(engine: InstanceId) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Forwards one request to upstreams, retries it where that is allowed, and returns the final response to the caller.
@@ -86,16 +87,36 @@
         next.begin()
     }
 
-    private fun choose(): Target? = targets.choose(history.excludedUpstreams + unreachable)
+    /** Chooses a target. The request counts as sent to it, so it has to be sent or passed to [discard]. */
+    private fun choose(): Target? = targets.choose(excluded())?.also { context.limits.onSend(it.upstream.id) }
 
-    /** Waits for free capacity while the response can still begin in time, then refuses the request. */
+    private fun discard(target: Target) = context.limits.onNotSent(target.upstream.id)
+
+    private fun excluded(): Set<InstanceId> = history.excludedUpstreams + unreachable
+
+    /**
+     * Waits for free capacity while the response can still begin in time, then refuses the request. Refuses it at once
+     * if the limits of the upstreams leave no room for it in that time.
+     */
     private fun onNoTarget() {
         val now = context.clock()
-        val since = noTargetSince ?: now.also { noTargetSince = it }
+        val since = noTargetSince ?: now
         val limit = if (response.hasBegun) MAX_STREAM_PAUSE else minOf(call.route.target * MAX_WAIT_FACTOR, MAX_WAIT)
-        if (now - since >= limit) finish(noTargetRefusal())
+        if (now - since >= limit) return finish(noTargetRefusal(RETRY_AFTER_NO_CAPACITY))
+        if (noTargetSince != null) return
+        noTargetSince = now
+        val wait = context.limits.timeUntilSend(targets.possibleUpstreams(excluded()), waitingBefore())
+        if (wait >=
+            limit
+        ) {
+            finish(noTargetRefusal(if (wait.isFinite()) minOf(wait, MAX_RETRY_AFTER) else RETRY_AFTER_NO_CAPACITY))
+        }
     }
 
+    /** Number of other requests for the same service that wait for a target. */
+    private fun waitingBefore(): Int =
+        context.inFlight.count { it !== this && it.noTargetSince != null && it.call.service.id == call.service.id }
+
     private fun onNotConnected(ended: Attempt, detail: String) {
         ended.release()
         attempt = null
@@ -121,6 +142,7 @@
     private fun sendAgain() {
         val refusals = history.notRunSends
         if (refusals < IMMEDIATE_REFUSALS) return sendNext()
+        preparedTarget?.let(::discard)
         preparedTarget = null
         retryAt = context.clock() + REFUSAL_PAUSE * (refusals - IMMEDIATE_REFUSALS + 1)
     }
@@ -141,7 +163,10 @@
     private fun prepareRetry(): Boolean {
         if (!history.mayRetryAfterRun()) return false
         val next = choose() ?: return false
-        if (!acquireRetry()) return false
+        if (!acquireRetry()) {
+            discard(next)
+            return false
+        }
         preparedTarget = next
         return true
     }
@@ -189,13 +214,13 @@
         "upstreams crashed under requests with prompt part $part",
     )
 
-    private fun noTargetRefusal() = refusal(
+    private fun noTargetRefusal(retryAfter: Duration) = refusal(
         if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN,
         RefusalReason.NO_UPSTREAM,
         Step.ROUTE,
         null,
         "no upstream of ${call.service.id} has room",
-        RETRY_AFTER_NO_CAPACITY,
+        retryAfter,
     )
 
     private fun busyRefusal(step: Step, detail: String) =
@@ -268,6 +293,7 @@
         fun release() {
             if (isReleased) return
             isReleased = true
+            if (!isSent) discard(target)
             context.traffic.onEnd(target.upstream.id)
             context.traffic.release(target.path, target.tokens)
         }
@@ -383,6 +409,9 @@
         /** Capacity is freed as streams end, a few per second at each engine. */
         val RETRY_AFTER_NO_CAPACITY = 700.milliseconds
 
+        /** Limits change within seconds, and another entry may have room earlier. */
+        val MAX_RETRY_AFTER = 3.seconds
+
         /** About the duration of one response; then a refusing upstream may accept again. */
         val RETRY_AFTER_BUSY = 400.milliseconds
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
@@ -10,6 +10,9 @@
 
     val size: Int get() = requests.size
 
+    /** Number of requests for which [condition] holds. */
+    fun count(condition: (ForwardedRequest) -> Boolean): Int = requests.count(condition)
+
     operator fun plusAssign(request: ForwardedRequest) {
         requests += request
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Target.kt
@@ -18,9 +18,15 @@
 
 /** Chooses targets for one request. */
 internal interface TargetChooser {
-    /** A target that uses none of the upstreams in [excluded], or null if there is none. */
+    /**
+     * A target that uses none of the upstreams in [excluded] and that this entry may send a request to now, or null if
+     * there is none.
+     */
     fun choose(excluded: Set<InstanceId>): Target?
 
+    /** Upstreams that can receive the request at some time, limited ones included; none of those in [excluded]. */
+    fun possibleUpstreams(excluded: Set<InstanceId>): List<InstanceId>
+
     /** A target that starts with the first segment of [current] and avoids engines that are down, or null if none. */
     fun redirect(current: Target): Target? = null
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -7,13 +7,17 @@
 import io.mimosatrail.core.path.PathSearch
 import io.mimosatrail.core.path.PathSegment
 import io.mimosatrail.core.placement.EngineProfile
+import io.mimosatrail.core.registry.UpstreamRecord
 
 /** Chooses one upstream of a plain service. */
 internal class PlainTargetChooser(private val call: RoutedCall, private val context: ForwardContext) : TargetChooser {
     override fun choose(excluded: Set<InstanceId>): Target? {
-        val upstreams = context.registry.of(call.service.id)
+        val upstreams = context.registry.of(call.service.id).filter { context.limits.maySend(it.id) }
         return context.balancer.choose(upstreams, excluded, context.clock())?.let { Target(it, emptyList(), 0) }
     }
+
+    override fun possibleUpstreams(excluded: Set<InstanceId>): List<InstanceId> =
+        context.registry.of(call.service.id).filter { !it.isDraining && it.id !in excluded }.map { it.id }
 }
 
 /** Chooses a path through the engines of a model. */
@@ -27,26 +31,32 @@
     private val demand = demand()
 
     override fun choose(excluded: Set<InstanceId>): Target? {
-        val path = findPath(SearchKey(call.service.id, excluded)) ?: return null
+        val limited = engines().filterNot { context.limits.maySend(it.id) }.map { it.id }.toSet()
+        val path = findPath(SearchKey(call.service.id, excluded, notFirst = limited)) ?: return null
         val first = context.registry[path.first().engine.id] ?: return null
         return Target(first, path, demand.tokens)
     }
 
     override fun redirect(current: Target): Target? {
-        val key = SearchKey(call.service.id, setOf(current.upstream.id), current.upstream.id)
+        val key = SearchKey(call.service.id, setOf(current.upstream.id), firstEngine = current.upstream.id)
         val path = findPath(key, current.path.first()) ?: return null
         return Target(current.upstream, path, current.tokens)
     }
 
+    override fun possibleUpstreams(excluded: Set<InstanceId>): List<InstanceId> =
+        engines().filter { !it.isDraining && it.id !in excluded && it.layers?.first == 0 }.map { it.id }
+
+    private fun engines(): List<UpstreamRecord> = context.registry.of(call.service.id)
+
     private fun findPath(key: SearchKey, firstSegment: PathSegment? = null): List<PathSegment>? {
         val now = context.clock()
         if (context.failedSearches.contains(key, now)) return null
         val engines = view.pathEngines(
-            context.registry.of(key.service),
+            engines(),
             key.excluded,
             context.share().entries,
             now,
-        )
+        ).map { if (it.id in key.notFirst) it.copy(mayBeFirst = false) else it }
         val path = search.best(engines, demand, firstSegment)?.segments
         if (path == null) context.failedSearches.add(key, now) else chargeLinks(path)
         return path
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -1,12 +1,10 @@
 package io.mimosatrail.gateway.gossip
 
-import io.mimosatrail.core.balance.PeerLoads
-import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.net.PeerAddress
-import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.forward.UpstreamState
 import io.mimosatrail.gateway.log.logProblem
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
@@ -37,11 +35,8 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal class LoadGossip(
     private val self: InstanceId,
-    private val traffic: UpstreamTraffic,
-    private val loads: PeerLoads,
+    private val upstreams: UpstreamState,
     private val peers: () -> List<PeerAddress>,
-    private val observations: UpstreamObservations,
-    private val quarantine: PromptQuarantine,
     private val dutyTerm: () -> Long?,
     private val onReportedDown: (InstanceId) -> Unit,
     private val onPeerMessage: (InstanceId, Long?) -> Unit,
@@ -72,11 +67,12 @@
         val message = LoadMessage(
             self,
             ++number,
-            traffic.loads(),
-            traffic.detectedDown(now),
-            observations.recent(),
+            upstreams.traffic.loads(),
+            upstreams.traffic.detectedDown(now),
+            upstreams.observations.recent(),
             dutyTerm(),
-            quarantine.report(now),
+            upstreams.quarantine.report(now),
+            upstreams.limits.reports(),
         )
         val bytes = Cbor.encodeToByteArray(message)
         repeat(minOf(PEERS_PER_ROUND, all.size)) {
@@ -88,14 +84,15 @@
 
     private fun onMessage(message: LoadMessage) {
         val now = clock()
-        loads.onReport(message.from, message.number, message.loads, now)
+        upstreams.peerLoads.onReport(message.from, message.number, message.loads, now)
         onPeerMessage(message.from, message.dutyTerm)
-        message.observations.forEach(observations::onObservation)
-        quarantine.onReport(message.quarantine, now).forEach { part ->
+        upstreams.limits.onReports(message.from, message.limits)
+        message.observations.forEach(upstreams.observations::onObservation)
+        upstreams.quarantine.onReport(message.quarantine, now).forEach { part ->
             logProblem("gossip", "part-quarantined", "part" to part, "from" to message.from)
         }
         for (engine in message.detectedDown) {
-            if (traffic.onReportedDown(engine, now)) onReportedDown(engine)
+            if (upstreams.traffic.onReportedDown(engine, now)) onReportedDown(engine)
         }
     }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
@@ -2,6 +2,7 @@
 
 import io.mimosatrail.core.balance.EngineLoad
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.limits.RateReport
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.quarantine.QuarantineReport
 import kotlinx.serialization.SerialName
@@ -10,8 +11,8 @@
 /**
  * Message from one entry to another: its [loads], the engines that it has recently [detected to be down][detectedDown],
  * and its [observations] of upstreams that the registry does not show yet. [dutyTerm] is the term of the placement duty
- * if the sender holds it, else null. [quarantine] is what it observed of prompts under which engines crash.
- * [number] increases with each message and restarts with the process.
+ * if the sender holds it, else null. [quarantine] is what it observed of prompts under which engines crash, and [limits]
+ * are the limits that upstreams announced. [number] increases with each message and restarts with the process.
  */
 @Serializable
 internal data class LoadMessage(
@@ -22,6 +23,7 @@
     @SerialName("seen") val observations: List<ObservationMessage> = emptyList(),
     @SerialName("duty") val dutyTerm: Long? = null,
     val quarantine: QuarantineReport = QuarantineReport(),
+    val limits: List<RateReport> = emptyList(),
 )
 
 /**
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/wire/EngineControl.kt
@@ -6,12 +6,16 @@
 import io.mimosatrail.core.path.PathSegment
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.registry.UpstreamRecord
+import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 
 /** Control interface of the model engines. All functions suspend until the engine responds or a time limit passes. */
 interface EngineControl {
-    /** Called for each answer in which an engine announces how many requests per second it accepts. */
-    var onAnnouncedRate: (InstanceId, Double) -> Unit
+    /**
+     * Called for each answer with the upstream, the number of requests per second that it accepts (null if it announces
+     * no limit), and the time at which the call was sent.
+     */
+    var onAnswer: (InstanceId, Double?, Moment) -> Unit
 
     /** The state that the engine reports, or null if it does not respond or its report cannot be read. */
     suspend fun report(engine: UpstreamRecord): EngineReport?
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/FakeEngines.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/FakeEngines.kt
@@ -9,6 +9,7 @@
 import io.mimosatrail.core.path.PathSegment
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.registry.UpstreamRecord
+import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.wire.EngineControl
 import io.mimosatrail.gateway.wire.EngineReport
 import io.mimosatrail.gateway.wire.OrderOutcome
@@ -21,7 +22,7 @@
     var reportRequests = 0
         private set
 
-    override var onAnnouncedRate: (InstanceId, Double) -> Unit = { _, _ -> }
+    override var onAnswer: (InstanceId, Double?, Moment) -> Unit = { _, _, _ -> }
 
     /** Engines that were probed, in order. */
     val probed = mutableListOf<InstanceId>()
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
@@ -16,6 +16,9 @@
 import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.time.systemClock
+import io.mimosatrail.gateway.follow.RegisteredEntries
+import io.mimosatrail.gateway.forward.UpstreamLimits
+import io.mimosatrail.gateway.forward.UpstreamState
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import java.net.DatagramSocket
@@ -27,13 +30,18 @@
     val address = freeAddress()
     val traffic = UpstreamTraffic()
     val loads = PeerLoads()
+    private val upstreams = UpstreamState(
+        UpstreamRegistry(),
+        traffic,
+        loads,
+        UpstreamObservations(UpstreamRegistry(), traffic, systemClock),
+        PromptQuarantine(),
+        UpstreamLimits(InstanceId(name), { RegisteredEntries.INITIAL }, systemClock),
+    )
     val gossip = LoadGossip(
         self = InstanceId(name),
-        traffic = traffic,
-        loads = loads,
+        upstreams = upstreams,
         peers = peers,
-        observations = UpstreamObservations(UpstreamRegistry(), traffic, systemClock),
-        quarantine = PromptQuarantine(),
         dutyTerm = { null },
         onReportedDown = {},
         onPeerMessage = { _, _ -> },
