Log restores of the store and configurations that are ignored

The logs did not show that the store had been restored from a backup, nor that an entry read a configuration and ignored it, so a lost notice and a rejected value looked the same. The number of the store's timeline is read from its answers now. No decision uses it yet.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -28,6 +28,7 @@
 import io.mimosatrail.gateway.gossip.LoadGossip
 import io.mimosatrail.gateway.gossip.UpstreamObservations
 import io.mimosatrail.gateway.log.logEvent
+import io.mimosatrail.gateway.log.logProblem
 import io.mimosatrail.gateway.net.ConnectionPool
 import io.mimosatrail.gateway.net.ControlClient
 import io.netty.buffer.Unpooled
@@ -164,6 +165,7 @@
             StallWatch.PERIOD.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
+        ports.timelines.onRestored { logProblem("store", "restored", "timeline" to it) }
         scope.launch { configurationFollower.run() }
         scope.launch { registryFollower.run() }
         scope.launch { membership.run() }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
@@ -33,6 +33,9 @@
      */
     private var knownRevision = StoreRevision(0)
 
+    /** Revision of the last configuration that was ignored as too old. */
+    private var ignoredRevision = StoreRevision(0)
+
     /** The configuration in force, or null until one has been read. */
     var current: FrontConfiguration? = null
         private set
@@ -74,7 +77,7 @@
     }
 
     private fun applyIfNewer(value: StoredValue) {
-        if (value.revision <= revision) return
+        if (value.revision <= revision) return logIgnored(value)
         val decoded = decode(value.value)
         revision = value.revision
         if (decoded == null) return logProblem("configuration", "unreadable", "revision" to value.revision)
@@ -92,6 +95,20 @@
         onChange(decoded)
     }
 
+    /** Logs that [value] is older than what was read before, once for each revision. */
+    private fun logIgnored(value: StoredValue) {
+        if (value.revision == revision || value.revision == ignoredRevision) return
+        ignoredRevision = value.revision
+        logEvent(
+            "configuration",
+            "ignored",
+            "version" to decode(value.value)?.version,
+            "revision" to value.revision,
+            "known-revision" to revision,
+            "in-force" to current?.version,
+        )
+    }
+
     private companion object {
         val RETRY_PAUSE = 150.milliseconds
     }
