--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvStandin.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvStandin.kt
@@ -21,6 +21,7 @@
 class KvStandin : AutoCloseable {
     private val table = KvTable()
     private val server = LoopbackServer(::serve)
+    private var backup: KvBackup? = null
 
     /** While true, all requests are answered with 503. */
     @Volatile
@@ -29,9 +30,10 @@
     /** Address as `host:port`. */
     val address: String get() = server.address
 
-    /** Writes [value] under [key], as the operator and the runners do. */
+    /** Writes [value] under [key], as the operator and the runners do. A heartbeat that changes nothing is no write. */
     fun put(key: String, value: String) {
         val encoded = Base64.getEncoder().encodeToString(value.toByteArray())
+        if (table.get(key)?.value == encoded) return
         table.transact(emptyMap(), listOf(KvRow(key, encoded, 0, 0, 0)), emptyList())
     }
 
@@ -43,10 +45,19 @@
     /** Deletes the change history. A watch of earlier changes is then answered with 410. */
     fun compact() = table.compact()
 
+    /** Makes the backup to which [restore] returns. */
+    fun backUp() {
+        backup = table.backup()
+    }
+
+    /** Returns to the last backup. What operators and runners wrote since is written again, the rest is lost. */
+    fun restore() = table.restore(checkNotNull(backup) { "there is no backup" }, listOf("op/", "servers/"))
+
     override fun close() = server.close()
 
     private fun serve(exchange: HttpExchange) {
         val body = exchange.requestBody.readAllBytes().decodeToString()
+        exchange.responseHeaders["Store-Era"] = table.timeline.toString()
         if (isUnavailable) return exchange.respond(503, "{}")
         val path = exchange.requestURI.path
         val query = query(exchange)
@@ -86,6 +97,7 @@
         val end = System.currentTimeMillis() + query.getValue("WaitMs").toLong()
         while (true) {
             val events = table.eventsAfter(query.getValue("Prefix"), query.getValue("After").toLong())
+            exchange.responseHeaders["Store-Era"] = table.timeline.toString()
             if (events == null || isUnavailable) return exchange.respond(if (isUnavailable) 503 else 410, "{}")
             if (events.isNotEmpty() || System.currentTimeMillis() >= end) {
                 return exchange.respond(200, watchBody(events))
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvTable.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvTable.kt
@@ -8,6 +8,9 @@
 /** A change of the store. [row] is null if the key was deleted. */
 internal data class KvEvent(val key: String, val revision: Long, val row: KvRow?)
 
+/** A backup of a [KvTable]. */
+internal class KvBackup(val rows: Map<String, KvRow>, val leases: Map<Long, Long>, val revision: Long)
+
 /** Rows, leases and change history of the store. All functions are synchronised. */
 internal class KvTable(private val nowMillis: () -> Long = System::currentTimeMillis) {
     private class Lease(val ttlMillis: Long, var expiresAtMillis: Long)
@@ -20,6 +23,10 @@
     var revision = 1L
         private set
 
+    /** Number of restores from a backup. */
+    var timeline = 1L
+        private set
+
     @Synchronized
     fun get(key: String): KvRow? {
         expire()
@@ -39,7 +46,7 @@
     @Synchronized
     fun eventsAfter(prefix: String, after: Long): List<KvEvent>? {
         expire()
-        return if (after < compactedRevision) {
+        return if (after < compactedRevision || after > revision) {
             null
         } else {
             events.filter { it.revision > after && it.key.startsWith(prefix) }
@@ -53,6 +60,29 @@
         compactedRevision = revision
     }
 
+    @Synchronized
+    fun backup() = KvBackup(rows.toMap(), leases.mapValues { it.value.ttlMillis }, revision)
+
+    /**
+     * Returns to [backup] and begins a new timeline. The writers of keys with one of [keptPrefixes] notice the loss and
+     * write again what differs.
+     */
+    @Synchronized
+    fun restore(backup: KvBackup, keptPrefixes: List<String>) {
+        val isKept = { key: String -> keptPrefixes.any(key::startsWith) }
+        val lost = rows.values.filter { isKept(it.key) && backup.rows[it.key]?.value != it.value }
+        val deleted = backup.rows.keys.filter { isKept(it) && it !in rows }
+        rows.clear()
+        rows.putAll(backup.rows)
+        leases.clear()
+        backup.leases.forEach { (id, ttl) -> leases[id] = Lease(ttl, nowMillis() + ttl) }
+        revision = backup.revision
+        timeline++
+        compact()
+        lost.forEach { transact(emptyMap(), listOf(it), emptyList()) }
+        deleted.forEach { transact(emptyMap(), emptyList(), listOf(it)) }
+    }
+
     /**
      * Applies all writes and returns their revision if each key of [conditions] has the given revision (0: no such
      * key). Otherwise applies none and returns null.
