Order what is read from the store by its timeline and revision

Cause: an entry took the revision as the age of a configuration. A restore gives revisions out again, so each change was ignored until the store had counted past the last revision seen before. The watch started at a revision that the store did not have and was refused and repeated without a pause. The class of the fault: an order given by one source is compared across a reset of that source, without a number of the reset in the comparison.

Change: StoreTimelines tells each reply's timeline. A reply to a call that was sent before a restore is uncertain, whatever it says. Across timelines configurations are ordered by the operators' version. The same cause elsewhere: - an entry could renew a lease whose id belongs to another entry now, and count as registered without a key: it registers again under a new lease, also whenever the store does not list it, and two renewals at once no longer open two leases; - the duty's key could stay under an earlier lease: its value names the lease, and the holder moves it to the new one; - terms of the duty were compared by revision alone: they are positions in a timeline now; - entries that had not registered again left the count of entries, by which budgets are shared: they are kept for 2 s; - upstreams that had left or restarted, or were draining, were used again as the backup shows them, and those that had started since were dropped: departures are remembered, draining is final until a restart, and what a backup lacks gets the time to register again that it has after an outage; - parts in quarantine were lost for the next restart: they are saved again.

--- a/core/src/main/kotlin/io/mimosatrail/core/id/StoreTimeline.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/id/StoreTimeline.kt
@@ -12,4 +12,9 @@
     override fun compareTo(other: StoreTimeline): Int = value.compareTo(other.value)
 
     override fun toString(): String = value.toString()
+
+    companion object {
+        /** Before the first reply, and for stores that do not report their timeline. */
+        val UNKNOWN = StoreTimeline(-1)
+    }
 }
--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -11,10 +11,16 @@
  *
  * Live upstreams renew their entries every [heartbeat]. Their entries may expire while the store is unavailable, so
  * what is missing after an outage is kept until live upstreams have had time to register again. Whatever has been
- * listed since the outage and is missing later has left. Not thread-safe.
+ * listed since the outage and is missing later has left.
+ *
+ * A store that was restored from a backup lists upstreams as they were some time before. It lacks those that have
+ * started since, which are treated as after an outage, and it lists those that have left or restarted since until their
+ * old entries expire. An upstream that is draining stays so until it restarts, whatever the store lists.
+ * Not thread-safe.
  */
 class UpstreamRegistry(heartbeat: Duration = DEFAULT_HEARTBEAT) {
     private val shortestExpiry = heartbeat * HEARTBEATS_TO_EXPIRE
+    private val longestExpiry = heartbeat * (HEARTBEATS_TO_EXPIRE + 1) + EXPIRY_MARGIN
     private val listed = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val records = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val observations = HashMap<InstanceId, UpstreamObservation>()
@@ -26,6 +32,15 @@
 
     /** Time of the first listing after the last outage in which entries may have expired. */
     private var returnedAt: Moment? = null
+
+    /** True from a restore of the store until the next listing. */
+    private var isRestored = false
+
+    /** Until this time the store may list upstreams that have left before it was restored; null if it never was. */
+    private var outdatedUntil: Moment? = null
+
+    /** Upstreams that have left, with their start times in Unix milliseconds. */
+    private val departed = HashMap<InstanceId, Departure>()
     private val notListedSinceOutage = LinkedHashSet<InstanceId>()
 
     /** Upstreams that the last listing lacked and that have not been removed yet. */
@@ -51,13 +66,16 @@
 
     /** Applies a complete listing that was read at [now] and returns the changes. */
     fun onListing(listing: List<UpstreamRecord>, now: Moment): List<RegistryChange> {
-        if (mayHaveExpired(now)) {
+        if (isRestored) outdatedUntil = now + longestExpiry
+        if (isRestored || mayHaveExpired(now)) {
             returnedAt = now
             notListedSinceOutage += listed.keys
         }
+        isRestored = false
         hasFailed = false
         lastListing = now
-        val seen = listing.associateBy { it.id }
+        departed.values.removeIf { now - it.at > DEPARTURE_KEPT_TIME }
+        val seen = listing.filterNot { isOutdated(it, now) }.map(::keepDraining).associateBy { it.id }
         notListedSinceOutage -= seen.keys
         if (missingUntil?.let { now >= it } ?: false) notListedSinceOutage.clear()
         listed.keys.retainAll(seen.keys + notListedSinceOutage)
@@ -81,7 +99,10 @@
             if (previous != merged) changes += RegistryChange(record.id, previous, merged)
         }
         val gone = records.keys - listed.keys
-        gone.forEach { id -> records.remove(id)?.let { changes += RegistryChange(id, it, null) } }
+        for (record in gone.mapNotNull(records::remove)) {
+            departed[record.id] = Departure(record.startedMillis, now)
+            changes += RegistryChange(record.id, record, null)
+        }
         if (changes.isNotEmpty()) byService = records.values.groupBy { it.service }
         return changes
     }
@@ -91,15 +112,41 @@
         hasFailed = true
     }
 
+    /** Records that the store was restored from a backup. */
+    fun onRestored() {
+        isRestored = true
+    }
+
+    /** True if [record] is from a backup and is known to have left or restarted since. */
+    private fun isOutdated(record: UpstreamRecord, now: Moment): Boolean {
+        if (outdatedUntil?.let { now >= it } ?: true) return false
+        val hasLeft = departed[record.id]?.let { record.startedMillis <= it.startedMillis } ?: false
+        val hasRestarted = listed[record.id]?.let { record.startedMillis < it.startedMillis } ?: false
+        return hasLeft || hasRestarted
+    }
+
+    private fun keepDraining(record: UpstreamRecord): UpstreamRecord {
+        val known = listed[record.id] ?: return record
+        val isLeaving = known.isDraining && known.startedMillis == record.startedMillis
+        return if (isLeaving) record.copy(isDraining = true) else record
+    }
+
     private fun mayHaveExpired(now: Moment): Boolean =
         hasFailed && lastListing?.let { now - it >= shortestExpiry } ?: false
 
+    private class Departure(val startedMillis: Long, val at: Moment)
+
     private companion object {
         val DEFAULT_HEARTBEAT = 1_200.milliseconds
 
         /** An entry expires after three missed heartbeats; the first may have been due when the outage began. */
         const val HEARTBEATS_TO_EXPIRE = 2
 
+        val EXPIRY_MARGIN = 1_000.milliseconds
+
+        /** Longer than the age of any backup that the store returns to. */
+        val DEPARTURE_KEPT_TIME = 60_000.milliseconds
+
         /** Upstreams register again about two seconds after the end of an outage. */
         val REGISTRATION_TIME = 2_100.milliseconds
     }
--- a/core/src/main/kotlin/io/mimosatrail/core/store/StoreTimelines.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/store/StoreTimelines.kt
@@ -6,22 +6,29 @@
 class StoreTimelines {
     private val listeners = mutableListOf<(StoreTimeline) -> Unit>()
 
-    /** The newest timeline that a reply has shown; the first one until then. */
-    var current = StoreTimeline(0)
+    /** The newest timeline that a reply has shown, or [StoreTimeline.UNKNOWN]. */
+    var current = StoreTimeline.UNKNOWN
         private set
 
-    private var isKnown = false
-
     /** Calls [listener] with the new timeline as soon as a reply shows that the store was restored from a backup. */
     fun onRestored(listener: (StoreTimeline) -> Unit) {
         listeners += listener
     }
 
-    /** Records the timeline of a reply. */
-    fun onReply(timeline: StoreTimeline) {
-        val isRestored = isKnown && timeline > current
-        if (!isKnown || timeline > current) current = timeline
-        isKnown = true
-        if (isRestored) listeners.forEach { it(timeline) }
+    /**
+     * Records that the reply to a call that was sent in the timeline [sentIn] shows [repliedIn]; null if it shows none.
+     * Returns true if the reply holds. One to a call that was sent before a restore does not: what it read may be gone,
+     * and what it wrote may be gone or be based on a revision or lease that means something else now.
+     */
+    fun accept(sentIn: StoreTimeline, repliedIn: StoreTimeline?): Boolean {
+        if (repliedIn == null) return true
+        if (repliedIn > current) begin(repliedIn)
+        return repliedIn == current && (sentIn == repliedIn || sentIn == StoreTimeline.UNKNOWN)
+    }
+
+    private fun begin(timeline: StoreTimeline) {
+        val isRestore = current != StoreTimeline.UNKNOWN
+        current = timeline
+        if (isRestore) listeners.forEach { it(timeline) }
     }
 }
--- a/core/src/test/kotlin/io/mimosatrail/core/registry/UpstreamRegistryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/registry/UpstreamRegistryTest.kt
@@ -121,4 +121,57 @@
                 registry.layers() shouldBe LayerRange(8, 12)
             }
         }
+
+        // Guards against requests to upstreams that have left, which a restore of the store from a backup lists again.
+        context("after a restore of the store") {
+            fun restored(vararg before: List<UpstreamRecord>) = UpstreamRegistry().apply {
+                before.forEachIndexed { index, listing -> onListing(listing, start + index.seconds) }
+                onRestored()
+            }
+            val soon = start + 10.seconds
+
+            test("an upstream that has left stays away while its old entry is listed") {
+                val registry = restored(listOf(record("a"), record("b")), listOf(record("a")))
+                registry.onListing(listOf(record("a"), record("b")), soon)
+                registry.names() shouldContainExactly listOf("a")
+                registry.onListing(listOf(record("a"), record("b")), soon + 4.seconds)
+                registry.names() shouldContainExactly listOf("a")
+            }
+
+            test("an upstream that has left and started again is used") {
+                val registry = restored(listOf(record("a"), record("b")), listOf(record("a")))
+                registry.onListing(listOf(record("a"), record("b", startedMillis = 2)), soon)
+                registry.names() shouldContainExactly listOf("a", "b")
+            }
+
+            test("an upstream that is still listed after old entries have expired is used again") {
+                val registry = restored(listOf(record("a"), record("b")), listOf(record("a")))
+                registry.onListing(listOf(record("a"), record("b")), soon)
+                registry.onListing(listOf(record("a"), record("b")), soon + 6.seconds)
+                registry.names() shouldContainExactly listOf("a", "b")
+            }
+
+            test("an upstream that has started since the backup has two seconds to register again") {
+                val registry = restored(listOf(record("a"), record("new")))
+                registry.onListing(listOf(record("a")), soon)
+                registry.names() shouldContainExactly listOf("a", "new")
+                registry.onListing(listOf(record("a")), soon + 2.5.seconds)
+                registry.names() shouldContainExactly listOf("a")
+            }
+
+            test("an upstream that has restarted since the backup is kept as it is") {
+                val registry = restored(listOf(record("a", startedMillis = 5)))
+                registry.onListing(listOf(record("a", startedMillis = 1)), soon)
+                registry[InstanceId("a")]?.startedMillis shouldBe 5
+            }
+        }
+
+        test("an upstream that is draining stays so until it restarts, whatever the registry shows") {
+            val registry = UpstreamRegistry()
+            registry.onListing(listOf(record("a", isDraining = true)), start)
+            registry.onListing(listOf(record("a")), start + 1.seconds)
+            registry[InstanceId("a")]?.isDraining shouldBe true
+            registry.onListing(listOf(record("a", startedMillis = 2)), start + 2.seconds)
+            registry[InstanceId("a")]?.isDraining shouldBe false
+        }
     })
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import io.mimosatrail.core.balance.PeerLoads
 import io.mimosatrail.core.balance.UpstreamTraffic
 import io.mimosatrail.core.front.FrontLimits
+import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.StorePollIntervals
 import io.mimosatrail.core.registry.UpstreamRegistry
@@ -68,13 +69,14 @@
     private val peerLoads = PeerLoads()
     private val inFlight = InFlightTable()
     private val observations = UpstreamObservations(registry, traffic, clock)
-    private val membership = EntryMembership(ports.store, settings.instance, settings.gossip, clock)
+    private val membership = EntryMembership(ports.store, ports.timelines, settings.instance, settings.gossip, clock)
     private val quarantine = PromptQuarantine { LoadGossip.replyTime(membership.registered.peers.size) }
     private val limits = UpstreamLimits(settings.instance, { membership.registered }, clock)
     private val upstreams = UpstreamState(registry, traffic, peerLoads, observations, quarantine, limits)
     private val pollIntervals = StorePollIntervals(settings.drainNotice, settings.configurationBound)
     private val configurationFollower = ConfigurationFollower(
         ports.store,
+        ports.timelines,
         ports.configurationKey,
         ports.decodeConfiguration,
         pollIntervals.watchWait,
@@ -82,6 +84,7 @@
     )
     private val registryFollower = RegistryFollower(
         ports.store,
+        ports.timelines,
         ports.upstreamPrefix,
         ports.decodeUpstream,
         registry,
@@ -165,7 +168,7 @@
             StallWatch.PERIOD.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
-        ports.timelines.onRestored { logProblem("store", "restored", "timeline" to it) }
+        ports.timelines.onRestored(::onStoreRestored)
         scope.launch { configurationFollower.run() }
         scope.launch { registryFollower.run() }
         scope.launch { membership.run() }
@@ -197,6 +200,13 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
 
+    private fun onStoreRestored(timeline: StoreTimeline) {
+        logProblem("store", "restored", "timeline" to timeline)
+        registry.onRestored()
+        membership.onRestored()
+        quarantineKeeper.onRestored()
+    }
+
     private fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
 
     private fun limits(): FrontLimits = configurationFollower.current?.limits ?: DEFAULT_LIMITS
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewayPorts.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/GatewayPorts.kt
@@ -11,9 +11,9 @@
 import io.mimosatrail.gateway.wire.HeaderCodec
 
 /**
- * The interfaces through which a gateway uses the platform it is deployed on: the [store] and its
- * [timelines], the keys of the configuration and of the registered upstreams in it, and the formats of values, headers and engine control. A decoder
- * returns null for a value that it cannot decode.
+ * The interfaces through which a gateway uses the platform it is deployed on: the [store] and its [timelines], the keys
+ * of the configuration and of the registered upstreams in it, and the formats of values, headers and engine control. A
+ * decoder returns null for a value that it cannot decode.
  */
 class GatewayPorts(
     val store: StoreCall,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
@@ -2,10 +2,13 @@
 
 import io.mimosatrail.core.front.FrontConfiguration
 import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreKey
+import io.mimosatrail.core.store.StorePosition
 import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoreTimelines
 import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.log.logProblem
@@ -14,18 +17,25 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Keeps [current] up to date with the operators' configuration stored under [key]. It never returns to an older
- * revision, even if a stale read or an interrupted watch yields one. [watchWait] is how long one watch call may wait.
+ * Keeps [current] up to date with the operators' configuration stored under [key]. It never returns to an older one,
+ * even if a stale read, an interrupted watch or a store that was restored from a backup yields one. [watchWait] is how
+ * long one watch call may wait.
  */
 internal class ConfigurationFollower(
     private val store: StoreCall,
+    private val timelines: StoreTimelines,
     private val key: StoreKey,
     private val decode: (ByteArray) -> FrontConfiguration?,
     private val watchWait: Duration,
     private val onChange: (FrontConfiguration) -> Unit,
 ) {
     private val outageLog = StoreOutageLog("configuration")
-    private var revision = StoreRevision(0)
+
+    /** Newest position of the configuration that was read, whether it came into force or not. */
+    private var lastRead: StorePosition? = null
+
+    /** Timeline of the store in which the configuration in force was read. */
+    private var inForceSince = StoreTimeline.UNKNOWN
 
     /**
      * Revision of the store up to which changes are known; the next watch starts here. The store keeps only a short
@@ -33,9 +43,6 @@
      */
     private var knownRevision = StoreRevision(0)
 
-    /** Revision of the last configuration that was ignored as too old. */
-    private var ignoredRevision = StoreRevision(0)
-
     /** The configuration in force, or null until one has been read. */
     var current: FrontConfiguration? = null
         private set
@@ -63,7 +70,7 @@
 
     /** Waits for a change. Returns false if the configuration has to be read again. */
     private suspend fun watch(): Boolean {
-        val reply = store(StoreCommand.Watch(key, maxOf(knownRevision, revision), watchWait))
+        val reply = store(StoreCommand.Watch(key, knownRevision, watchWait))
         if (reply !is StoreReply.Changes) {
             outageLog.onFailure(reply)
             delay(RETRY_PAUSE)
@@ -77,37 +84,31 @@
     }
 
     private fun applyIfNewer(value: StoredValue) {
-        if (value.revision <= revision) return logIgnored(value)
+        val position = StorePosition(timelines.current, value.revision)
+        if (lastRead?.let { position <= it } ?: false) return
+        lastRead = position
         val decoded = decode(value.value)
-        revision = value.revision
-        if (decoded == null) return logProblem("configuration", "unreadable", "revision" to value.revision)
-        val previous = current
+        if (decoded == null) return logProblem("configuration", "unreadable", "position" to position)
+        if (isOlder(decoded, position)) return log("ignored", decoded, position)
+        log("in-force", decoded, position)
+        inForceSince = position.timeline
         current = decoded
-        logEvent(
-            "configuration",
-            "in-force",
-            "version" to decoded.version,
-            "revision" to value.revision,
-            "previous" to previous?.version,
-            "routes" to decoded.routeCount,
-            "services" to decoded.services.size,
-        )
         onChange(decoded)
     }
 
-    /** Logs that [value] is older than what was read before, once for each revision. */
-    private fun logIgnored(value: StoredValue) {
-        if (value.revision == revision || value.revision == ignoredRevision) return
-        ignoredRevision = value.revision
-        logEvent(
-            "configuration",
-            "ignored",
-            "version" to decode(value.value)?.version,
-            "revision" to value.revision,
-            "known-revision" to revision,
-            "in-force" to current?.version,
-        )
-    }
+    /** Revisions order configurations within a timeline of the store. Across a restore only their versions do. */
+    private fun isOlder(read: FrontConfiguration, position: StorePosition): Boolean =
+        position.timeline != inForceSince && current?.let { read.version < it.version } ?: false
+
+    private fun log(event: String, read: FrontConfiguration, position: StorePosition) = logEvent(
+        "configuration",
+        event,
+        "version" to read.version,
+        "position" to position,
+        "previous" to current?.version,
+        "routes" to read.routeCount,
+        "services" to read.services.size,
+    )
 
     private companion object {
         val RETRY_PAUSE = 150.milliseconds
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/DutyOwnership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/DutyOwnership.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.gateway.follow
 
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.store.StorePosition
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -17,14 +18,14 @@
  * engine accepts an order only if it has accepted no other since it was last queried.
  */
 internal class DutyOwnership(private val self: InstanceId) {
-    private class PeerState(val at: Moment, val term: Long?)
+    private class PeerState(val at: Moment, val term: StorePosition?)
 
     private val peers = HashMap<InstanceId, PeerState>()
     private var leaseExpiresAt: Moment? = null
     private var unavailableSince: Moment? = null
 
     /** Term of the duty if, according to the store, this entry holds it; else null. */
-    var term: Long? = null
+    var term: StorePosition? = null
         private set
 
     /** Records that the store answered and that the lease lasts at least until [expiresAt]. */
@@ -34,7 +35,7 @@
     }
 
     /** Records the holder read from the store: [term] is set if it is this entry, else null. */
-    fun onHolder(term: Long?) {
+    fun onHolder(term: StorePosition?) {
         this.term = term
     }
 
@@ -44,7 +45,7 @@
     }
 
     /** Records a message of [peer]; [term] is set if the peer holds the duty. */
-    fun onPeerMessage(peer: InstanceId, term: Long?, now: Moment) {
+    fun onPeerMessage(peer: InstanceId, term: StorePosition?, now: Moment) {
         peers[peer] = PeerState(now, term)
     }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -8,11 +8,17 @@
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreKey
+import io.mimosatrail.core.store.StorePosition
 import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoreTimelines
 import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.core.time.Clock
+import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,10 +32,14 @@
  * Registers this entry in the store under a lease, lists the other entries, and claims the placement duty if nobody
  * holds it. The key of the duty is attached to the same lease, so the duty becomes free when this entry ends.
  *
+ * A restore of the store from a backup may take the lease and the keys away or give the id of the lease to another
+ * entry, so the entry registers again under a new lease.
+ *
  * [incarnation] distinguishes this process from earlier ones with the same id.
  */
 internal class EntryMembership(
     private val store: StoreCall,
+    private val timelines: StoreTimelines,
     private val self: InstanceId,
     private val gossip: PeerAddress,
     private val clock: Clock,
@@ -37,16 +47,22 @@
 ) {
     private val outageLog = StoreOutageLog("membership")
     private var lease: LeaseId? = null
+    private val renewal = Mutex()
     private var isRegistered = false
     private val duty = DutyOwnership(self)
 
     /**
-     * Value of the duty's key while this process holds it. The id alone would not do: the lease of an earlier process
-     * with the same id may not have expired yet.
+     * Start of the value of the duty's key while this process holds it. The id alone would not do: the lease of an
+     * earlier process with the same id may not have expired yet.
      */
-    private val holderName = "$self/${incarnation.toULong().toString(HEXADECIMAL)}"
+    private val processName = "$self/${incarnation.toULong().toString(HEXADECIMAL)}/"
     private var changedAt = clock()
 
+    /** The other entries may still have to register again until this time; null if the store was never restored. */
+    private var completeAt: Moment? = null
+    private var addresses = emptyMap<InstanceId, PeerAddress>()
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+
     /** The entries in the last listing. */
     var registered = RegisteredEntries.INITIAL
         private set
@@ -54,20 +70,31 @@
     /** True if this entry may currently act for the placement duty. */
     val isDutyHolder: Boolean get() = duty.mayAct(clock())
 
-    /** Term of the placement duty (the revision at which its key was created) if this entry holds it, else null. */
-    fun dutyTerm(): Long? = duty.term
+    /** Value of the duty's key while this process holds it under the current lease. */
+    private val holderName: String get() = "$processName$lease"
+
+    /** Term of the placement duty (where its key was created) if this entry holds it, else null. */
+    fun dutyTerm(): StorePosition? = duty.term
 
     /** Records a message of another entry; [term] is set if that entry holds the duty. */
-    fun onPeerMessage(peer: InstanceId, term: Long?) = duty.onPeerMessage(peer, term, clock())
+    fun onPeerMessage(peer: InstanceId, term: StorePosition?) = duty.onPeerMessage(peer, term, clock())
 
     /** Keeps the entry registered and the list of entries up to date until cancelled. */
     suspend fun run() {
         while (true) {
             if (renewLease() && register()) list()
-            delay(PERIOD)
+            withTimeoutOrNull(PERIOD) { wakeUps.receive() }
         }
     }
 
+    /** Registers again at once, after the store was restored from a backup. */
+    fun onRestored() {
+        dropLease("the store was restored from a backup")
+        completeAt = clock() + REGISTRATION_TIME
+        changedAt = clock()
+        wakeUps.trySend(Unit)
+    }
+
     /**
      * Renews the lease and returns true if this entry may still act for the placement duty. To be called right before
      * orders are sent.
@@ -77,8 +104,11 @@
         return duty.mayAct(clock())
     }
 
-    /** Renews the lease, or opens one if there is none. Returns true if the entry has a lease now. */
-    private suspend fun renewLease(): Boolean {
+    /**
+     * Renews the lease, or opens one if there is none. Returns true if the entry has a lease now. Calls run one after the
+     * other, so that they never open two leases.
+     */
+    private suspend fun renewLease(): Boolean = renewal.withLock {
         val requestedAt = clock()
         val held = lease
         val reply = store(if (held == null) StoreCommand.Grant(LEASE_TTL) else StoreCommand.Renew(held))
@@ -94,7 +124,7 @@
                 duty.onStoreUnavailable(clock())
             }
         }
-        return reply is StoreReply.Lease
+        reply is StoreReply.Lease
     }
 
     private suspend fun register(): Boolean {
@@ -110,24 +140,47 @@
 
     private suspend fun list() {
         val now = clock()
-        val listing = store.listAll(ROOT, mayBeStale = now - changedAt > STABLE_TIME)
+        val mayBeStale = now - changedAt > STABLE_TIME
+        val listing = store.listAll(ROOT, mayBeStale)
         if (listing !is Listing.Complete) {
             changedAt = now
             return
         }
-        val counted = RegisteredEntries.of(self, listing.values.mapNotNull(::toEntry).toMap())
+        val listed = listing.values.mapNotNull(::toEntry).toMap()
+        addresses = if (completeAt?.let { now < it } ?: false) addresses + listed else listed
+        if (self !in listed) onOwnEntryMissing(mayBeStale)
+        val counted = RegisteredEntries.of(self, addresses)
         if (counted != registered) {
             logEvent("membership", "entries-counted", "entries" to counted.entries)
             changedAt = now
         }
         registered = counted
         val holder = listing.values.firstOrNull { it.key == DUTY }
-        if (holder == null) claimDuty() else onHolder(ownTerm(holder))
+        when {
+            holder == null -> claimDuty(StoreRevision(0))
+            isUnderEarlierLease(holder) -> claimDuty(holder.revision)
+            else -> onHolder(ownTerm(holder))
+        }
+    }
+
+    /** True if this process claimed the duty under a lease that it no longer uses. */
+    private fun isUnderEarlierLease(holder: StoredValue): Boolean {
+        val name = holder.value.decodeToString()
+        return name.startsWith(processName) && name != holderName
+    }
+
+    /** Registers again in the next round, unless the listing may only be too old to show the entry. */
+    private fun onOwnEntryMissing(mayBeStale: Boolean) {
+        logEvent("membership", "own-entry-missing", "lease" to lease, "stale" to mayBeStale)
+        changedAt = clock()
+        if (!mayBeStale) isRegistered = false
     }
 
     /** Term of the duty if [holder] is this process, else null. */
-    private fun ownTerm(holder: StoredValue): Long? =
-        holder.createRevision.value.takeIf { holder.value.decodeToString() == holderName }
+    private fun ownTerm(holder: StoredValue): StorePosition? =
+        position(holder.createRevision).takeIf { holder.value.decodeToString() == holderName }
+
+    private fun position(revision: StoreRevision) = StorePosition(timelines.current, revision)
 
     /** Returns null if [value] is not a registered entry; the listing covers other keys too. */
     private fun toEntry(value: StoredValue): Pair<InstanceId, PeerAddress>? {
@@ -136,16 +189,17 @@
         return value.value.decodeToString().toPeerAddressOrNull()?.let { InstanceId(id) to it }
     }
 
-    private suspend fun claimDuty() {
-        val put = StoreCommand.Put(DUTY, holderName.encodeToByteArray(), StoreRevision(0), lease)
+    /** Claims the duty if its key is at revision [expected]; 0 if nobody holds it. */
+    private suspend fun claimDuty(expected: StoreRevision) {
+        val put = StoreCommand.Put(DUTY, holderName.encodeToByteArray(), expected, lease)
         when (val reply = store(put)) {
-            is StoreReply.Written -> onHolder(reply.revision.value)
+            is StoreReply.Written -> onHolder(position(reply.revision))
             is StoreReply.Conflict -> onHolder(reply.current?.let(::ownTerm))
             else -> onHolder(null)
         }
     }
 
-    private fun onHolder(term: Long?) {
+    private fun onHolder(term: StorePosition?) {
         if ((term != null) != (duty.term != null)) {
             logEvent("membership", if (term != null) "duty-taken" else "duty-lost", "duty" to DUTY, "term" to term)
         }
@@ -172,6 +226,9 @@
          */
         val STABLE_TIME: Duration = 5.seconds
 
+        /** Within this time after a restore of the store every entry notices it and registers again. */
+        val REGISTRATION_TIME: Duration = 2.seconds
+
         const val HEXADECIMAL = 16
 
         /** Possible drift between the clocks of the store and of this process during [LEASE_TTL]. */
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
@@ -16,7 +16,8 @@
 
 /**
  * Keeps [quarantine] across a restart of all entries: writes the parts that this entry quarantines to the store, under
- * leases that end with the quarantine, and reads them once after the start.
+ * leases that end with the quarantine, and reads them once after the start. A restore of the store from a backup may
+ * lose them, so they are written again then.
  */
 internal class QuarantineKeeper(
     private val store: StoreCall,
@@ -24,6 +25,7 @@
     private val clock: Clock,
 ) {
     private val unsaved = LinkedHashSet<PromptPartId>()
+    private val saved = LinkedHashSet<PromptPartId>()
     private val outageLog = StoreOutageLog("quarantine")
 
     /** Has [part] written to the store. */
@@ -31,11 +33,23 @@
         if (part.value.length <= MAX_PART_LENGTH) unsaved += part
     }
 
+    /** Has all parts written again that are still quarantined, after the store was restored from a backup. */
+    fun onRestored() {
+        val now = clock()
+        saved.removeIf { quarantine.find(listOf(it), now) == null }
+        unsaved += saved
+    }
+
     /** Reads what was quarantined before, then writes what is quarantined now, until cancelled. */
     suspend fun run() {
         while (!restore()) delay(PERIOD)
         while (true) {
-            unsaved.toList().forEach { if (write(it)) unsaved -= it }
+            unsaved.toList().forEach { part ->
+                if (write(part)) {
+                    unsaved -= part
+                    saved += part
+                }
+            }
             delay(PERIOD)
         }
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
@@ -1,10 +1,12 @@
 package io.mimosatrail.gateway.follow
 
+import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.registry.RegistryChange
 import io.mimosatrail.core.registry.UpstreamRecord
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreKey
+import io.mimosatrail.core.store.StoreTimelines
 import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
@@ -20,6 +22,7 @@
 /** Keeps [registry] up to date with the records that upstreams write to the store under [prefix]. */
 internal class RegistryFollower(
     private val store: StoreCall,
+    private val timelines: StoreTimelines,
     private val prefix: StoreKey,
     private val decode: (StoredValue) -> UpstreamRecord?,
     private val registry: UpstreamRegistry,
@@ -49,7 +52,9 @@
     /** Lists the prefix once. Returns true if the store answered. */
     private suspend fun list(): Boolean {
         val requestedAt = clock()
+        val timeline = timelines.current
         val listing = store.listAll(prefix)
+        if (timeline != StoreTimeline.UNKNOWN && timelines.current != timeline) return false
         val isNewest = appliedRequest?.let { requestedAt > it } ?: true
         when (listing) {
             is Listing.Failed -> if (isNewest) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -1,7 +1,9 @@
 package io.mimosatrail.gateway.gossip
 
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.store.StorePosition
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.forward.UpstreamState
@@ -37,9 +39,9 @@
     private val self: InstanceId,
     private val upstreams: UpstreamState,
     private val peers: () -> List<PeerAddress>,
-    private val dutyTerm: () -> Long?,
+    private val dutyTerm: () -> StorePosition?,
     private val onReportedDown: (InstanceId) -> Unit,
-    private val onPeerMessage: (InstanceId, Long?) -> Unit,
+    private val onPeerMessage: (InstanceId, StorePosition?) -> Unit,
     private val loop: EventLoop,
     private val clock: Clock,
 ) {
@@ -64,13 +66,15 @@
         val open = channel ?: return
         val all = peers()
         if (all.isEmpty()) return
+        val term = dutyTerm()
         val message = LoadMessage(
             self,
             ++number,
             upstreams.traffic.loads(),
             upstreams.traffic.detectedDown(now),
             upstreams.observations.recent(),
-            dutyTerm(),
+            term?.revision,
+            term?.timeline ?: StoreTimeline.UNKNOWN,
             upstreams.quarantine.report(now),
             upstreams.limits.reports(),
         )
@@ -85,7 +89,7 @@
     private fun onMessage(message: LoadMessage) {
         val now = clock()
         upstreams.peerLoads.onReport(message.from, message.number, message.loads, now)
-        onPeerMessage(message.from, message.dutyTerm)
+        onPeerMessage(message.from, message.dutyTerm?.let { StorePosition(message.dutyTimeline, it) })
         upstreams.limits.onReports(message.from, message.limits)
         message.observations.forEach(upstreams.observations::onObservation)
         upstreams.quarantine.onReport(message.quarantine, now).forEach { part ->
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
@@ -2,6 +2,8 @@
 
 import io.mimosatrail.core.balance.EngineLoad
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.limits.RateReport
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.quarantine.QuarantineReport
@@ -11,7 +13,7 @@
 /**
  * Message from one entry to another: its [loads], the engines that it has recently [detected to be down][detectedDown],
  * and its [observations] of upstreams that the registry does not show yet. [dutyTerm] is the term of the placement duty
- * if the sender holds it, else null. [quarantine] is what it observed of prompts under which engines crash, and [limits]
+ * in the store's timeline [dutyTimeline] if the sender holds it, else null. [quarantine] is what it observed of prompts under which engines crash, and [limits]
  * are the limits that upstreams announced. [number] increases with each message and restarts with the process.
  */
 @Serializable
@@ -21,7 +23,8 @@
     val loads: List<EngineLoad>,
     @SerialName("down") val detectedDown: List<InstanceId>,
     @SerialName("seen") val observations: List<ObservationMessage> = emptyList(),
-    @SerialName("duty") val dutyTerm: Long? = null,
+    @SerialName("duty") val dutyTerm: StoreRevision? = null,
+    @SerialName("timeline") val dutyTimeline: StoreTimeline = StoreTimeline.UNKNOWN,
     val quarantine: QuarantineReport = QuarantineReport(),
     val limits: List<RateReport> = emptyList(),
 )
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
@@ -6,10 +6,13 @@
 import io.mimosatrail.core.front.FrontConfiguration
 import io.mimosatrail.core.front.FrontLimits
 import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.id.StoreTimeline
+import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreChange
 import io.mimosatrail.core.store.StoreCommand
 import io.mimosatrail.core.store.StoreKey
 import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoreTimelines
 import io.mimosatrail.core.store.StoredValue
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.withTimeoutOrNull
@@ -34,15 +37,23 @@
     FrontConfiguration(version, emptyList(), emptyMap(), FrontLimits(1, 1, 1.seconds, 1.seconds), null)
 }
 
+private val lost = StoreReply.Uncertain("no answer")
+
 /** Versions that come into force while the store replies with [replies] in turn. */
 private suspend fun versions(replies: List<StoreReply>): List<Long> {
     val remaining = ArrayDeque(replies)
+    return versions(StoreTimelines()) { command ->
+        check(command is StoreCommand.List || command is StoreCommand.Watch)
+        remaining.removeFirstOrNull() ?: awaitCancellation()
+    }
+}
+
+/** Versions that come into force while [store] replies. */
+private suspend fun versions(timelines: StoreTimelines, store: StoreCall): List<Long> {
     val seen = mutableListOf<Long>()
     val follower = ConfigurationFollower(
-        store = { command ->
-            check(command is StoreCommand.List || command is StoreCommand.Watch)
-            remaining.removeFirstOrNull() ?: awaitCancellation()
-        },
+        store = store,
+        timelines = timelines,
         key = key,
         decode = ::decode,
         watchWait = 1.seconds,
@@ -54,11 +65,21 @@
     return seen
 }
 
+/** A reply of the store after [timeline] restores from a backup. */
+private class TimedReply(val timeline: Long, val reply: StoreReply)
+
+private fun List<TimedReply>.inTurn(timelines: StoreTimelines): suspend (StoreCommand) -> StoreReply {
+    val remaining = ArrayDeque(this)
+    return {
+        val next = remaining.removeFirstOrNull() ?: awaitCancellation()
+        if (timelines.accept(timelines.current, StoreTimeline(next.timeline))) next.reply else lost
+    }
+}
+
 class ConfigurationFollowerTest :
     FunSpec({
         context("versions that come into force") {
             data class Case(val name: String, val replies: List<StoreReply>, val versions: List<Long>)
-            val lost = StoreReply.Uncertain("no answer")
             withData(
                 nameFn = { case: Case -> case.name },
                 Case("one from a read and one from a watch", listOf(value(1, 5), changes(2, 6)), listOf(1, 2)),
@@ -75,6 +96,79 @@
             ) { case -> versions(case.replies) shouldContainExactly case.versions }
         }
 
+        // Guards against changes that are ignored after a restore of the store, since revisions go back in it.
+        context("versions that come into force around restores of the store") {
+            data class Case(val name: String, val replies: List<TimedReply>, val versions: List<Long>)
+            val before =
+                listOf(TimedReply(1, value(4, 89)), TimedReply(1, changes(8, 90)), TimedReply(1, changes(11, 91)))
+            val restored = TimedReply(2, compacted)
+            withData(
+                nameFn = { case: Case -> case.name },
+                Case(
+                    "a change whose revision is given out again",
+                    before + listOf(restored, TimedReply(2, value(11, 90)), TimedReply(2, changes(14, 91))),
+                    listOf(4, 8, 11, 11, 14),
+                ),
+                Case(
+                    "no older ones while the operators write theirs again",
+                    before + listOf(
+                        restored,
+                        TimedReply(2, value(4, 89)),
+                        TimedReply(2, changes(8, 90)),
+                        TimedReply(2, changes(11, 91)),
+                        TimedReply(2, changes(14, 92)),
+                    ),
+                    listOf(4, 8, 11, 11, 14),
+                ),
+                Case(
+                    "a change right after a second restore",
+                    before + listOf(
+                        restored,
+                        TimedReply(2, value(4, 89)),
+                        TimedReply(3, compacted),
+                        TimedReply(3, value(14, 88)),
+                    ),
+                    listOf(4, 8, 11, 14),
+                ),
+                Case(
+                    "none from a reply of the timeline before",
+                    before + listOf(restored, TimedReply(2, value(11, 90)), TimedReply(1, changes(8, 99))),
+                    listOf(4, 8, 11, 11),
+                ),
+            ) { case ->
+                val timelines = StoreTimelines()
+                versions(timelines, case.replies.inTurn(timelines)) shouldContainExactly case.versions
+            }
+        }
+
+        test(
+            "after a restore the watch starts at the revision of the new timeline, and does not repeat without a pause",
+        ) {
+            val timelines = StoreTimelines()
+            val watched = mutableListOf<Long>()
+            var lists = 0
+            val follower = ConfigurationFollower(
+                store = { command ->
+                    timelines.accept(timelines.current, StoreTimeline(if (lists == 0) 1 else 2))
+                    when (command) {
+                        is StoreCommand.List -> value(1, if (lists++ == 0) 91 else 89)
+                        is StoreCommand.Watch -> {
+                            watched += command.after.value
+                            if (command.after.value > 89) compacted else awaitCancellation()
+                        }
+                        else -> error("$command is not used here")
+                    }
+                },
+                timelines = timelines,
+                key = key,
+                decode = ::decode,
+                watchWait = 1.seconds,
+                onChange = {},
+            )
+            withTimeoutOrNull(1.seconds) { kotlinx.coroutines.coroutineScope { follower.run() } }
+            watched shouldContainExactly listOf(91L, 89L)
+        }
+
         test("a watch starts at the store's revision, not at the last change, which may be compacted already") {
             val watched = mutableListOf<Long>()
             val follower = ConfigurationFollower(
@@ -101,6 +195,7 @@
                         else -> error("$command is not used here")
                     }
                 },
+                timelines = StoreTimelines(),
                 key = key,
                 decode = ::decode,
                 watchWait = 1.seconds,
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/DutyOwnershipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/DutyOwnershipTest.kt
@@ -3,6 +3,9 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.StoreRevision
+import io.mimosatrail.core.id.StoreTimeline
+import io.mimosatrail.core.store.StorePosition
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -10,7 +13,9 @@
 private val start = Moment(0)
 private val other = InstanceId("entry-2")
 
-private fun holder(term: Long = 5) = DutyOwnership(InstanceId("entry-1")).apply {
+private fun term(revision: Long, timeline: Long = 1) = StorePosition(StoreTimeline(timeline), StoreRevision(revision))
+
+private fun holder(term: StorePosition = term(5)) = DutyOwnership(InstanceId("entry-1")).apply {
     onLease(start + 3.seconds)
     onHolder(term)
 }
@@ -30,16 +35,26 @@
 
         test("a holder stops when a peer holds a later term") {
             val ownership = holder().apply { onStoreUnavailable(start) }
-            ownership.onPeerMessage(other, term = 6, start)
+            ownership.onPeerMessage(other, term(6), start)
             ownership.mayAct(start) shouldBe false
         }
 
         test("a holder continues when a peer holds an earlier term") {
             val ownership = holder().apply { onStoreUnavailable(start) }
-            ownership.onPeerMessage(other, term = 4, start)
+            ownership.onPeerMessage(other, term(4), start)
             ownership.mayAct(start) shouldBe true
         }
 
+        // Guards against two holders that each take their term for the later one after a restore of the store.
+        test("a term of a later timeline of the store is later, even if its revision is lower") {
+            val ownership = holder(term(90, timeline = 1)).apply { onStoreUnavailable(start) }
+            ownership.onPeerMessage(other, term(5, timeline = 2), start)
+            ownership.mayAct(start) shouldBe false
+            val later = holder(term(5, timeline = 2)).apply { onStoreUnavailable(start) }
+            later.onPeerMessage(other, term(90, timeline = 1), start)
+            later.mayAct(start) shouldBe true
+        }
+
         test(
             "if the store is unavailable and no peer holds the duty, the entry with the lowest id acts after a delay",
         ) {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeperTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeperTest.kt
@@ -54,4 +54,21 @@
                 restarted.find(listOf(part), start) shouldBe part
             }
         }
+
+        // Guards against crashes that start again after a restore of the store and a loss of all entries.
+        test("a quarantine that a restore of the store has lost is saved again") {
+            runTest {
+                val store = RefusingStore(refusals = 0)
+                val quarantine = PromptQuarantine().apply { restore(listOf(part), start) }
+                val keeper = QuarantineKeeper({ store.answer(it) }, quarantine, clock = { start })
+                val job = launch { keeper.run() }
+                keeper.save(part)
+                delay(3.seconds)
+                store.values.clear()
+                keeper.onRestored()
+                delay(3.seconds)
+                job.cancel()
+                store.values.map { it.value.decodeToString() } shouldBe listOf(part.value)
+            }
+        }
     })
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/RegistryFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/RegistryFollowerTest.kt
@@ -14,6 +14,7 @@
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.store.StoreKey
 import io.mimosatrail.core.store.StoreReply
+import io.mimosatrail.core.store.StoreTimelines
 import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.core.time.Moment
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -75,6 +76,7 @@
             val now = elapsed()
             if (now >= OUTAGE_START && now < outageEnd) outage.answer() else listing(listedIds(now - outageEnd))
         },
+        timelines = StoreTimelines(),
         prefix = prefix,
         decode = { record(it.value.decodeToString()) },
         registry = registry,
