Deny nothing by a configuration that is older than that of another entry

An entry that starts after a restore of the store, before the operators have written their configuration again, reads an old one and answered 404 or 401 for routes and keys that the other entries serve.

Change: entries report the version of the configuration in force in their gossip. A request that an older one does not allow is refused with 503 as not run, and the caller can go to another entry.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -15,6 +15,7 @@
 import io.mimosatrail.gateway.duty.PlacementDuty
 import io.mimosatrail.gateway.follow.ConfigurationFollower
 import io.mimosatrail.gateway.follow.EntryMembership
+import io.mimosatrail.gateway.follow.PeerConfigurations
 import io.mimosatrail.gateway.follow.QuarantineKeeper
 import io.mimosatrail.gateway.follow.RegistryFollower
 import io.mimosatrail.gateway.forward.ForwardContext
@@ -27,6 +28,7 @@
 import io.mimosatrail.gateway.front.Caller
 import io.mimosatrail.gateway.front.FrontServer
 import io.mimosatrail.gateway.gossip.LoadGossip
+import io.mimosatrail.gateway.gossip.LoadMessage
 import io.mimosatrail.gateway.gossip.UpstreamObservations
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.log.logProblem
@@ -82,6 +84,7 @@
         pollIntervals.watchWait,
         onChange = { logReadiness() },
     )
+    private val peerConfigurations = PeerConfigurations(clock)
     private val registryFollower = RegistryFollower(
         ports.store,
         ports.timelines,
@@ -128,8 +131,9 @@
         upstreams = upstreams,
         peers = { membership.registered.peers },
         dutyTerm = membership::dutyTerm,
+        configuration = { configurationFollower.current?.version },
         onReportedDown = inFlight::onEngineDown,
-        onPeerMessage = membership::onPeerMessage,
+        onPeerMessage = ::onPeerMessage,
         loop = loop,
         clock = clock,
     )
@@ -141,6 +145,7 @@
         context = context,
         configuration = { configurationFollower.current },
         isStateLoaded = { configurationFollower.current != null && registry.isLoaded },
+        isOutdated = peerConfigurations::isNewer,
         isStopping = { isRefusing },
     )
     private val front = FrontServer(group, clock, ::limits, router::serve)
@@ -200,6 +205,11 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
 
+    private fun onPeerMessage(message: LoadMessage) {
+        membership.onPeerMessage(message.from, message.dutyPosition)
+        message.configuration?.let(peerConfigurations::onReport)
+    }
+
     private fun onStoreRestored(timeline: StoreTimeline) {
         logProblem("store", "restored", "timeline" to timeline)
         registry.onRestored()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Renews the lease, or opens one if there is none. Returns true if the entry has a lease now. Calls run one after the
-     * other, so that they never open two leases.
+     * Renews the lease, or opens one if there is none. Returns true if the entry has a lease now. Calls run one after
+     * the other, so that they never open two leases.
      */
     private suspend fun renewLease(): Boolean = renewal.withLock {
         val requestedAt = clock()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
@@ -16,12 +16,15 @@
 
 /**
  * Routes each request by the current configuration, then forwards or refuses it. [isStateLoaded] is true once the first
- * configuration and the upstreams have been read. Confined to the event loop.
+ * configuration and the upstreams have been read. [isOutdated] is true for the version of a configuration if another
+ * entry has a newer one: what it does not allow may be allowed then, so it is no reason to deny a request. Confined to
+ * the event loop.
  */
 internal class RequestRouter(
     private val context: ForwardContext,
     private val configuration: () -> FrontConfiguration?,
     private val isStateLoaded: () -> Boolean,
+    private val isOutdated: (Long) -> Boolean,
     private val isStopping: () -> Boolean,
     private val random: Random = Random.Default,
 ) {
@@ -48,18 +51,28 @@
         if (current == null) return refuse(caller, fields, notReady("no configuration has been read yet"))
         if (isStopping()) return refuse(caller, fields, notReady("this entry is stopping"))
         when (val decision = current.decide(host(caller), path(caller), fields.apiKey)) {
-            RouteDecision.NoRoute -> refuse(
-                caller,
-                fields,
-                denied(RefusalReason.NOT_FOUND, "no route matches"),
-                current,
-            )
+            RouteDecision.NoRoute -> deny(caller, fields, RefusalReason.NOT_FOUND, "no route matches", current)
             RouteDecision.UnknownKey ->
-                refuse(caller, fields, denied(RefusalReason.UNAUTHENTICATED, "the key is not known"), current)
+                deny(caller, fields, RefusalReason.UNAUTHENTICATED, "the key is not known", current)
             is RouteDecision.Routed -> forward(caller, fields, decision, current)
         }
     }
 
+    private fun deny(
+        caller: Caller,
+        fields: RequestFields,
+        reason: RefusalReason,
+        detail: String,
+        current: FrontConfiguration,
+    ) {
+        val refusal = if (isOutdated(current.version)) {
+            notReady("$detail, but another entry has a newer configuration")
+        } else {
+            Refusal(Outcome.NOT_RUN, reason, Step.ROUTE, null, detail)
+        }
+        refuse(caller, fields, refusal, current)
+    }
+
     private fun forward(
         caller: Caller,
         fields: RequestFields,
@@ -96,9 +109,6 @@
 
     private fun path(caller: Caller): String = caller.request.uri().substringBefore('?')
 
-    private fun denied(reason: RefusalReason, detail: String) =
-        Refusal(Outcome.NOT_RUN, reason, Step.ROUTE, null, detail)
-
     private fun notReady(detail: String) = Refusal(
         Outcome.NOT_RUN,
         RefusalReason.NOT_READY,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -30,9 +30,9 @@
 /**
  * Exchanges [LoadMessage]s with the other entries in UDP datagrams, which may be lost. Runs on [loop].
  *
- * [dutyTerm] is the term of the placement duty if this entry holds it. [onReportedDown] is called for an engine that a
- * peer reports as down and that was not presumed down yet, [onPeerMessage] for each message with the duty term of its
- * sender.
+ * [dutyTerm] is the term of the placement duty if this entry holds it, and [configuration] the version of the
+ * configuration in force here. [onReportedDown] is called for an engine that a peer reports as down and that was not
+ * presumed down yet, [onPeerMessage] for each message.
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal class LoadGossip(
@@ -40,8 +40,9 @@
     private val upstreams: UpstreamState,
     private val peers: () -> List<PeerAddress>,
     private val dutyTerm: () -> StorePosition?,
+    private val configuration: () -> Long?,
     private val onReportedDown: (InstanceId) -> Unit,
-    private val onPeerMessage: (InstanceId, StorePosition?) -> Unit,
+    private val onPeerMessage: (LoadMessage) -> Unit,
     private val loop: EventLoop,
     private val clock: Clock,
 ) {
@@ -77,6 +78,7 @@
             term?.timeline ?: StoreTimeline.UNKNOWN,
             upstreams.quarantine.report(now),
             upstreams.limits.reports(),
+            configuration(),
         )
         val bytes = Cbor.encodeToByteArray(message)
         repeat(minOf(PEERS_PER_ROUND, all.size)) {
@@ -89,7 +91,7 @@
     private fun onMessage(message: LoadMessage) {
         val now = clock()
         upstreams.peerLoads.onReport(message.from, message.number, message.loads, now)
-        onPeerMessage(message.from, message.dutyTerm?.let { StorePosition(message.dutyTimeline, it) })
+        onPeerMessage(message)
         upstreams.limits.onReports(message.from, message.limits)
         message.observations.forEach(upstreams.observations::onObservation)
         upstreams.quarantine.onReport(message.quarantine, now).forEach { part ->
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadMessage.kt
@@ -7,14 +7,16 @@
 import io.mimosatrail.core.limits.RateReport
 import io.mimosatrail.core.pipeline.LayerRange
 import io.mimosatrail.core.quarantine.QuarantineReport
+import io.mimosatrail.core.store.StorePosition
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
  * Message from one entry to another: its [loads], the engines that it has recently [detected to be down][detectedDown],
  * and its [observations] of upstreams that the registry does not show yet. [dutyTerm] is the term of the placement duty
- * in the store's timeline [dutyTimeline] if the sender holds it, else null. [quarantine] is what it observed of prompts under which engines crash, and [limits]
- * are the limits that upstreams announced. [number] increases with each message and restarts with the process.
+ * in the store's timeline [dutyTimeline] if the sender holds it, else null. [quarantine] is what it observed of prompts
+ * under which engines crash, and [limits] are the limits that upstreams announced. [configuration] is the version of
+ * the configuration in force at the sender. [number] increases with each message and restarts with the process.
  */
 @Serializable
 internal data class LoadMessage(
@@ -27,7 +29,11 @@
     @SerialName("timeline") val dutyTimeline: StoreTimeline = StoreTimeline.UNKNOWN,
     val quarantine: QuarantineReport = QuarantineReport(),
     val limits: List<RateReport> = emptyList(),
-)
+    val configuration: Long? = null,
+) {
+    /** Where the duty's key was created if the sender holds the placement duty, else null. */
+    val dutyPosition: StorePosition? get() = dutyTerm?.let { StorePosition(dutyTimeline, it) }
+}
 
 /**
  * State of [upstream] as the sender observed it: the [layers] that it serves, null if none, and whether it is draining.
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
@@ -43,8 +43,9 @@
         upstreams = upstreams,
         peers = peers,
         dutyTerm = { null },
+        configuration = { null },
         onReportedDown = {},
-        onPeerMessage = { _, _ -> },
+        onPeerMessage = {},
         loop = loop,
         clock = systemClock,
     ).also { it.listen(address) }
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvStandin.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvStandin.kt
@@ -50,8 +50,14 @@
         backup = table.backup()
     }
 
-    /** Returns to the last backup. What operators and runners wrote since is written again, the rest is lost. */
-    fun restore() = table.restore(checkNotNull(backup) { "there is no backup" }, listOf("op/", "servers/"))
+    /**
+     * Returns to the last backup. What runners and, unless [isConfigurationLost], operators wrote since is written
+     * again, the rest is lost.
+     */
+    fun restore(isConfigurationLost: Boolean = false) = table.restore(
+        checkNotNull(backup) { "there is no backup" },
+        if (isConfigurationLost) listOf("servers/") else listOf("op/", "servers/"),
+    )
 
     override fun close() = server.close()
 
