--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -134,7 +134,8 @@
         history.onEnd(end)
         context.meters.onSendEnd(end.name)
         log("send-failed", ended, "end" to end, "detail" to detail)
-        if (maySendAgain()) return sendAgain()
+        val obstacle = retryObstacle() ?: return sendAgain()
+        log("not-sent-again", ended, "reason" to obstacle)
         finish(failureRefusal(ended, end, detail))
     }
 
@@ -147,13 +148,22 @@
         retryAt = context.clock() + REFUSAL_PAUSE * (refusals - IMMEDIATE_REFUSALS + 1)
     }
 
-    private fun maySendAgain(): Boolean {
-        if (!history.maySendAgain() || context.clock() + MIN_TIME_FOR_SEND >= call.deadline) return false
-        if (response.hasBegun && !call.route.isResumable) return false
-        if (!history.hasNotRun && context.quarantine.isSuspect(call.fields.sharedParts, context.clock())) return false
-        return preparedTarget != null || acquireRetry()
+    /** Why the request is not sent again, or null if it is; a retry has been acquired for it then. */
+    private fun retryObstacle(): RetryObstacle? {
+        val now = context.clock()
+        return when {
+            !history.maySendAgain() -> RetryObstacle.SENDS
+            now + MIN_TIME_FOR_SEND >= call.deadline -> RetryObstacle.DEADLINE
+            response.hasBegun && !call.route.isResumable -> RetryObstacle.NOT_RESUMABLE
+            isPromptSuspected(now) -> RetryObstacle.SUSPECTED_PROMPT
+            preparedTarget == null && !acquireRetry() -> RetryObstacle.BUDGET
+            else -> null
+        }
     }
 
+    private fun isPromptSuspected(now: Moment): Boolean =
+        !history.hasNotRun && context.quarantine.isSuspect(call.fields.sharedParts, now)
+
     private fun acquireRetry(): Boolean = context.retries.tryAcquire(call.service.id, context.clock())
 
     /**
