Write no key without a lease, and let begun streams wait for a limit

A lease can be dropped while a listing is under way, by a restore of the store or by the renewal before an order; the key that was written next had no lease, and the duty's key would have stayed for good. A stream that has begun is worth more than its wait, so it is no longer cut at once if a limit leaves no room for it.

Test: EntryMembershipTest 'an entry that loses its lease between two calls writes no key without one'.

--- a/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/registry/UpstreamRegistry.kt
@@ -20,7 +20,7 @@
  */
 class UpstreamRegistry(heartbeat: Duration = DEFAULT_HEARTBEAT) {
     private val shortestExpiry = heartbeat * HEARTBEATS_TO_EXPIRE
-    private val longestExpiry = heartbeat * (HEARTBEATS_TO_EXPIRE + 1) + EXPIRY_MARGIN
+    private val longestExpiry = heartbeat * MOST_HEARTBEATS_TO_EXPIRE + EXPIRY_MARGIN
     private val listed = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val records = LinkedHashMap<InstanceId, UpstreamRecord>()
     private val observations = HashMap<InstanceId, UpstreamObservation>()
@@ -142,9 +142,11 @@
         /** An entry expires after three missed heartbeats; the first may have been due when the outage began. */
         const val HEARTBEATS_TO_EXPIRE = 2
 
+        /** The last heartbeat in a backup may be as recent as the backup. */
+        const val MOST_HEARTBEATS_TO_EXPIRE = 3
         val EXPIRY_MARGIN = 1_000.milliseconds
 
-        /** Longer than the age of any backup that the store returns to. */
+        /** Backups are some seconds old and do not list what left before. */
         val DEPARTURE_KEPT_TIME = 60_000.milliseconds
 
         /** Upstreams register again about two seconds after the end of an outage. */
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -129,7 +129,9 @@
 
     private suspend fun register(): Boolean {
         if (isRegistered) return true
-        val put = StoreCommand.Put(ENTRIES / self.value, gossip.toString().encodeToByteArray(), null, lease)
+        // Without a lease the key would stay in the store after the end of this process.
+        val held = lease ?: return false
+        val put = StoreCommand.Put(ENTRIES / self.value, gossip.toString().encodeToByteArray(), null, held)
         when (val reply = store(put)) {
             is StoreReply.Written -> isRegistered = true
             is StoreReply.Conflict -> dropLease("the lease has ended")
@@ -191,7 +193,8 @@
 
     /** Claims the duty if its key is at revision [expected]; 0 if nobody holds it. */
     private suspend fun claimDuty(expected: StoreRevision) {
-        val put = StoreCommand.Put(DUTY, holderName.encodeToByteArray(), expected, lease)
+        val held = lease ?: return onHolder(null)
+        val put = StoreCommand.Put(DUTY, holderName.encodeToByteArray(), expected, held)
         when (val reply = store(put)) {
             is StoreReply.Written -> onHolder(position(reply.revision))
             is StoreReply.Conflict -> onHolder(reply.current?.let(::ownTerm))
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -94,25 +94,27 @@
 
     private fun excluded(): Set<InstanceId> = history.excludedUpstreams + unreachable
 
-    /**
-     * Waits for free capacity while the response can still begin in time, then refuses the request. Refuses it at once
-     * if the limits of the upstreams leave no room for it in that time.
-     */
+    /** Waits for free capacity while the response can still begin or continue in time, then refuses the request. */
     private fun onNoTarget() {
         val now = context.clock()
-        val since = noTargetSince ?: now
+        val since = noTargetSince
         val limit = if (response.hasBegun) MAX_STREAM_PAUSE else minOf(call.route.target * MAX_WAIT_FACTOR, MAX_WAIT)
-        if (now - since >= limit) return finish(noTargetRefusal(RETRY_AFTER_NO_CAPACITY))
-        if (noTargetSince != null) return
-        noTargetSince = now
-        val wait = context.limits.timeUntilSend(targets.possibleUpstreams(excluded()), waitingBefore())
-        if (wait >=
-            limit
-        ) {
-            finish(noTargetRefusal(if (wait.isFinite()) minOf(wait, MAX_RETRY_AFTER) else RETRY_AFTER_NO_CAPACITY))
+        when {
+            since == null -> {
+                noTargetSince = now
+                if (!response.hasBegun) refuseIfHopeless(limit)
+            }
+            now - since >= limit -> finish(noTargetRefusal(RETRY_AFTER_NO_CAPACITY))
         }
     }
 
+    /** Refuses the request at once if the limits of the upstreams leave no room for it within [limit]. */
+    private fun refuseIfHopeless(limit: Duration) {
+        val wait = context.limits.timeUntilSend(targets.possibleUpstreams(excluded()), waitingBefore())
+        if (wait < limit) return
+        finish(noTargetRefusal(if (wait.isFinite()) minOf(wait, MAX_RETRY_AFTER) else RETRY_AFTER_NO_CAPACITY))
+    }
+
     /** Number of other requests for the same service that wait for a target. */
     private fun waitingBefore(): Int =
         context.inFlight.count { it !== this && it.noTargetSince != null && it.call.service.id == call.service.id }
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/EntryMembershipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/EntryMembershipTest.kt
@@ -179,4 +179,22 @@
             }
             grants shouldBe 1
         }
+
+        // Guards against keys that nobody removes, which would keep the duty from all entries.
+        test("an entry that loses its lease between two calls writes no key without one") {
+            val store = FakeStore()
+            lateinit var entry: EntryMembership
+            val leases = mutableListOf<LeaseId?>()
+            val losing: StoreCall = { command ->
+                if (command is StoreCommand.Put) leases += command.lease
+                store.answer(command).also { if (command is StoreCommand.List) entry.onRestored() }
+            }
+            entry =
+                EntryMembership(losing, store.timelines, InstanceId("edge-1"), PeerAddress("127.0.0.1", 1), {
+                    Moment(0)
+                })
+            entry.runOneRound()
+            leases.forEach { it.shouldNotBeNull() }
+            (dutyKey in store.values) shouldBe false
+        }
     })
