Reserve a quarter of the retry budget for answers that have begun

Cause: the retry budget of the entry was used up by requests that engines had refused before.

Change: a retry of a request without an answer leaves a quarter of the budget. The bound on all retries is the same.

Test: RetryBudgetsTest, 'requests without an answer leave a quarter of the budget to answers that have begun'.

--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
@@ -23,8 +23,12 @@
     /** Records the first attempt of a request. */
     fun onFirstAttempt(service: ServiceId, now: Moment) = budget(service, now).onFirstAttempt(now)
 
-    /** Takes one retry from the budget of [service], or returns false if none is left. */
-    fun tryAcquire(service: ServiceId, now: Moment): Boolean = budget(service, now).tryAcquire(now)
+    /**
+     * Takes one retry from the budget of [service], or returns false if none is left. A part of the budget is reserved
+     * for answers that have begun ([hasBegun]): without a retry they are cut, while others can be refused.
+     */
+    fun tryAcquire(service: ServiceId, now: Moment, hasBegun: Boolean = true): Boolean =
+        budget(service, now).tryAcquire(now, if (hasBegun) 0.0 else RESERVED_FRACTION)
 
     private fun budget(service: ServiceId, now: Moment): RetryWindow {
         val share = slack * USED_FRACTION / assumedEntries(now)
@@ -44,6 +48,7 @@
 
     private companion object {
         const val USED_FRACTION = 0.5
+        const val RESERVED_FRACTION = 0.25
 
         /** An entry that is no longer visible may still run without the store and use its previous share. */
         const val WINDOWS_BEFORE_FALL = 2
--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
@@ -20,10 +20,10 @@
         firstAttempts[index(current)]++
     }
 
-    /** Takes one retry from the budget, or returns false if none is left. */
-    fun tryAcquire(now: Moment): Boolean {
+    /** Takes one retry from the budget, or returns false if none is left beyond the part [reserved] of it, 0 to 1. */
+    fun tryAcquire(now: Moment, reserved: Double = 0.0): Boolean {
         advance(now)
-        if (retries.sum() + 1 > ratio * firstAttempts.sum() + slack) return false
+        if (retries.sum() + 1 > (ratio * firstAttempts.sum() + slack) * (1 - reserved)) return false
         retries[index(current)]++
         return true
     }
--- a/core/src/test/kotlin/io/mimosatrail/core/retry/RetryBudgetsTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/retry/RetryBudgetsTest.kt
@@ -27,6 +27,17 @@
             budgets.takeAll(Moment(0)) shouldBe (SLACK / 2 / 24).toInt()
         }
 
+        // Guards against streams that are cut because refused requests have used up the retry budget.
+        test("requests without an answer leave a quarter of the budget to answers that have begun") {
+            val budgets = budgets { 4 }
+            val share = (SLACK / 2 / 4).toInt()
+            val taken = generateSequence {
+                budgets.tryAcquire(service, Moment(0), hasBegun = false)
+            }.takeWhile { it }.count()
+            taken shouldBe share * 3 / 4
+            budgets.takeAll(Moment(0)) shouldBe share - taken
+        }
+
         test("entries that stop seeing each other one by one stay within the common bound") {
             val count = 4
             var visible = count
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -166,7 +166,8 @@
     private fun isPromptSuspected(now: Moment): Boolean =
         !history.hasNotRun && context.quarantine.isSuspect(call.fields.sharedParts, now)
 
-    private fun acquireRetry(): Boolean = context.retries.tryAcquire(call.service.id, context.clock())
+    private fun acquireRetry(): Boolean =
+        context.retries.tryAcquire(call.service.id, context.clock(), response.hasBegun)
 
     /**
      * Chooses a target for a retry while the current send is still open, and acquires the retry from the budget.
