Read the configuration again after a restore before it is watched

Change: the follower keeps the timeline with the revision and reads before it watches in another one. A reply counts only if the call was made, not just sent, in the timeline of the reply (StoreTimelines.guard).

Tests: ConfigurationFollowerTest 'after a restore that another part has noticed ...', StoreTimelinesTest 'the reply to a call that waited during a restore ...'.

--- a/core/src/main/kotlin/io/mimosatrail/core/store/StoreTimelines.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/store/StoreTimelines.kt
@@ -26,9 +26,23 @@
         return repliedIn == current && (sentIn == repliedIn || sentIn == StoreTimeline.UNKNOWN)
     }
 
+    /**
+     * Passes calls on to [call]. The reply to one that was made before a restore is uncertain, also if it waited for a
+     * rate limit and was sent after it.
+     */
+    fun guard(call: StoreCall): StoreCall = { command ->
+        val calledIn = current
+        val reply = call(command)
+        if (calledIn == StoreTimeline.UNKNOWN || calledIn == current) reply else restored
+    }
+
     private fun begin(timeline: StoreTimeline) {
         val isRestore = current != StoreTimeline.UNKNOWN
         current = timeline
         if (isRestore) listeners.forEach { it(timeline) }
     }
+
+    private companion object {
+        val restored = StoreReply.Uncertain("the store was restored from a backup since the call was made")
+    }
 }
--- a/core/src/test/kotlin/io/mimosatrail/core/store/StoreTimelinesTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/store/StoreTimelinesTest.kt
@@ -41,6 +41,20 @@
             timelines.current shouldBe timeline(6)
         }
 
+        test("the reply to a call that waited during a restore and was sent after it is uncertain") {
+            val timelines = StoreTimelines().apply { accept(StoreTimeline.UNKNOWN, timeline(1)) }
+            var isRestoredWhileWaiting = false
+            val store = timelines.guard { _ ->
+                if (isRestoredWhileWaiting) timelines.accept(timeline(1), timeline(2))
+                StoreReply.Written(StoreRevision(5))
+            }
+            val delete = StoreCommand.Delete(StoreKey("a"), null)
+            (store(delete) is StoreReply.Written) shouldBe true
+            isRestoredWhileWaiting = true
+            (store(delete) is StoreReply.Uncertain) shouldBe true
+            (store(delete) is StoreReply.Written) shouldBe true
+        }
+
         test("every position of a later timeline is later") {
             val positions = listOf(1L to 90L, 1L to 91L, 2L to 4L, 2L to 90L)
                 .map { (timeline, revision) -> StorePosition(timeline(timeline), StoreRevision(revision)) }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
@@ -1,7 +1,6 @@
 package io.mimosatrail.gateway.follow
 
 import io.mimosatrail.core.front.FrontConfiguration
-import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.store.StoreCall
 import io.mimosatrail.core.store.StoreCommand
@@ -38,10 +37,10 @@
     private var inForceSince = StoreTimeline.UNKNOWN
 
     /**
-     * Revision of the store up to which changes are known; the next watch starts here. The store keeps only a short
-     * history, so a watch that started at the last change of the configuration could fail as compacted.
+     * Position up to which changes are known; the next watch starts here. The store keeps only a short history, so a
+     * watch that started at the last change of the configuration could fail as compacted.
      */
-    private var knownRevision = StoreRevision(0)
+    private var known: StorePosition? = null
 
     /** The configuration in force, or null until one has been read. */
     var current: FrontConfiguration? = null
@@ -51,7 +50,7 @@
     suspend fun run() {
         while (true) {
             if (!read()) delay(RETRY_PAUSE)
-            while (current != null && watch()) Unit
+            while (watch()) Unit
         }
     }
 
@@ -63,14 +62,15 @@
         }
         outageLog.onAnswer()
         val value = reply.values.firstOrNull { it.key == key } ?: return false
-        knownRevision = reply.revision
+        known = StorePosition(timelines.current, reply.revision)
         applyIfNewer(value)
         return true
     }
 
     /** Waits for a change. Returns false if the configuration has to be read again. */
     private suspend fun watch(): Boolean {
-        val reply = store(StoreCommand.Watch(key, knownRevision, watchWait))
+        val from = known?.takeIf { it.timeline == timelines.current } ?: return false
+        val reply = store(StoreCommand.Watch(key, from.revision, watchWait))
         if (reply !is StoreReply.Changes) {
             outageLog.onFailure(reply)
             delay(RETRY_PAUSE)
@@ -78,7 +78,7 @@
         }
         outageLog.onAnswer()
         if (reply.compacted) return false
-        knownRevision = maxOf(knownRevision, reply.revision)
+        known = from.copy(revision = maxOf(from.revision, reply.revision))
         reply.changes.mapNotNull { it.value }.filter { it.key == key }.maxByOrNull { it.revision }?.let(::applyIfNewer)
         return true
     }
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
@@ -169,6 +169,40 @@
             watched shouldContainExactly listOf(91L, 89L)
         }
 
+        // Guards against a change that a watch from a revision of the earlier timeline misses.
+        test("after a restore that another part has noticed, the configuration is read before it is watched") {
+            val timelines = StoreTimelines().apply { accept(StoreTimeline.UNKNOWN, StoreTimeline(1)) }
+            val watched = mutableListOf<Long>()
+            val seen = mutableListOf<Long>()
+            var lists = 0
+            val follower = ConfigurationFollower(
+                store = { command ->
+                    when {
+                        command is StoreCommand.List && ++lists == 1 -> value(11, 91)
+                        command is StoreCommand.List && lists == 2 -> {
+                            timelines.accept(timelines.current, StoreTimeline(2))
+                            lost
+                        }
+                        command is StoreCommand.List -> value(14, 90)
+                        command is StoreCommand.Watch && lists == 1 -> lost
+                        command is StoreCommand.Watch -> {
+                            watched += command.after.value
+                            awaitCancellation()
+                        }
+                        else -> error("$command is not used here")
+                    }
+                },
+                timelines = timelines,
+                key = key,
+                decode = ::decode,
+                watchWait = 1.seconds,
+                onChange = { seen += it.version },
+            )
+            withTimeoutOrNull(1.seconds) { kotlinx.coroutines.coroutineScope { follower.run() } }
+            watched shouldContainExactly listOf(90L)
+            seen shouldContainExactly listOf(11L, 14L)
+        }
+
         test("a watch starts at the store's revision, not at the last change, which may be compacted already") {
             val watched = mutableListOf<Long>()
             val follower = ConfigurationFollower(
