Check the timeline of a store call in one place

The guard decides alone now. The client only records the timeline and rejects an answer from an earlier one, and listings of several pages use the same test as the guard.

Behaviour is unchanged. The tests keep their cases and expected results; they make their calls through the guard, as the entry does.

--- a/core/src/main/kotlin/io/mimosatrail/core/store/StoreTimelines.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/store/StoreTimelines.kt
@@ -16,24 +16,27 @@
     }
 
     /**
-     * Records that the reply to a call that was sent in the timeline [sentIn] shows [repliedIn]; null if it shows none.
-     * Returns true if the reply holds. One to a call that was sent before a restore does not: what it read may be gone,
-     * and what it wrote may be gone or be based on a revision or lease that means something else now.
+     * Records that a reply shows [timeline]; null if it shows none. Returns false if the store has been restored since
+     * it sent the reply.
      */
-    fun accept(sentIn: StoreTimeline, repliedIn: StoreTimeline?): Boolean {
-        if (repliedIn == null) return true
-        if (repliedIn > current) begin(repliedIn)
-        return repliedIn == current && (sentIn == repliedIn || sentIn == StoreTimeline.UNKNOWN)
+    fun accept(timeline: StoreTimeline?): Boolean {
+        if (timeline == null) return true
+        if (timeline > current) begin(timeline)
+        return timeline == current
     }
 
+    /** True if the store is not known to have been restored since [timeline] was [current]. */
+    fun isCurrent(timeline: StoreTimeline): Boolean = timeline == StoreTimeline.UNKNOWN || timeline == current
+
     /**
      * Passes calls on to [call]. The reply to one that was made before a restore is uncertain, also if it waited for a
-     * rate limit and was sent after it.
+     * rate limit and was sent after it: what it read may be gone, and what it wrote may be gone or be based on a
+     * revision or lease that has been given out again.
      */
     fun guard(call: StoreCall): StoreCall = { command ->
         val calledIn = current
         val reply = call(command)
-        if (calledIn == StoreTimeline.UNKNOWN || calledIn == current) reply else restored
+        if (isCurrent(calledIn)) reply else restored
     }
 
     private fun begin(timeline: StoreTimeline) {
--- a/core/src/test/kotlin/io/mimosatrail/core/store/StoreTimelinesTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/store/StoreTimelinesTest.kt
@@ -7,6 +7,9 @@
 import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.id.StoreTimeline
 
+private val delete = StoreCommand.Delete(StoreKey("a"), null)
+private val written = StoreReply.Written(StoreRevision(5))
+
 private fun timeline(number: Long) = StoreTimeline(number)
 
 class StoreTimelinesTest :
@@ -15,7 +18,7 @@
         context("whether a reply holds, once timeline 2 is known") {
             data class Case(
                 val name: String,
-                val sentIn: StoreTimeline,
+                val calledIn: StoreTimeline,
                 val repliedIn: StoreTimeline?,
                 val holds: Boolean,
             )
@@ -28,27 +31,30 @@
                 Case("answered after another restore", timeline(2), timeline(3), false),
                 Case("without a timeline", timeline(2), null, true),
             ) { case ->
-                val timelines = StoreTimelines().apply { accept(StoreTimeline.UNKNOWN, timeline(2)) }
-                timelines.accept(case.sentIn, case.repliedIn) shouldBe case.holds
+                val timelines = StoreTimelines().apply { accept(case.calledIn) }
+                val store = timelines.guard { _ ->
+                    timelines.accept(timeline(2))
+                    if (timelines.accept(case.repliedIn)) written else StoreReply.Uncertain("outdated")
+                }
+                (store(delete) == written) shouldBe case.holds
             }
         }
 
         test("listeners are called once for each restore, and not for the first timeline") {
             val seen = mutableListOf<Long>()
             val timelines = StoreTimelines().apply { onRestored { seen += it.value } }
-            for (number in listOf(3L, 3L, 4L, 3L, 4L, 6L)) timelines.accept(timelines.current, timeline(number))
+            for (number in listOf(3L, 3L, 4L, 3L, 4L, 6L)) timelines.accept(timeline(number))
             seen shouldContainExactly listOf(4L, 6L)
             timelines.current shouldBe timeline(6)
         }
 
         test("the reply to a call that waited during a restore and was sent after it is uncertain") {
-            val timelines = StoreTimelines().apply { accept(StoreTimeline.UNKNOWN, timeline(1)) }
+            val timelines = StoreTimelines().apply { accept(timeline(1)) }
             var isRestoredWhileWaiting = false
             val store = timelines.guard { _ ->
-                if (isRestoredWhileWaiting) timelines.accept(timeline(1), timeline(2))
-                StoreReply.Written(StoreRevision(5))
+                if (isRestoredWhileWaiting) timelines.accept(timeline(2))
+                written
             }
-            val delete = StoreCommand.Delete(StoreKey("a"), null)
             (store(delete) is StoreReply.Written) shouldBe true
             isRestoredWhileWaiting = true
             (store(delete) is StoreReply.Uncertain) shouldBe true
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/RegistryFollower.kt
@@ -1,6 +1,5 @@
 package io.mimosatrail.gateway.follow
 
-import io.mimosatrail.core.id.StoreTimeline
 import io.mimosatrail.core.registry.RegistryChange
 import io.mimosatrail.core.registry.UpstreamRecord
 import io.mimosatrail.core.registry.UpstreamRegistry
@@ -54,7 +53,7 @@
         val requestedAt = clock()
         val timeline = timelines.current
         val listing = store.listAll(prefix)
-        if (timeline != StoreTimeline.UNKNOWN && timelines.current != timeline) return false
+        if (!timelines.isCurrent(timeline)) return false
         val isNewest = appliedRequest?.let { requestedAt > it } ?: true
         when (listing) {
             is Listing.Failed -> if (isNewest) {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollowerTest.kt
@@ -65,14 +65,14 @@
     return seen
 }
 
-/** A reply of the store after [timeline] restores from a backup. */
+/** A reply of the store in its [timeline]. */
 private class TimedReply(val timeline: Long, val reply: StoreReply)
 
-private fun List<TimedReply>.inTurn(timelines: StoreTimelines): suspend (StoreCommand) -> StoreReply {
+private fun List<TimedReply>.inTurn(timelines: StoreTimelines): StoreCall {
     val remaining = ArrayDeque(this)
-    return {
+    return timelines.guard {
         val next = remaining.removeFirstOrNull() ?: awaitCancellation()
-        if (timelines.accept(timelines.current, StoreTimeline(next.timeline))) next.reply else lost
+        if (timelines.accept(StoreTimeline(next.timeline))) next.reply else lost
     }
 }
 
@@ -149,7 +149,7 @@
             var lists = 0
             val follower = ConfigurationFollower(
                 store = { command ->
-                    timelines.accept(timelines.current, StoreTimeline(if (lists == 0) 1 else 2))
+                    timelines.accept(StoreTimeline(if (lists == 0) 1 else 2))
                     when (command) {
                         is StoreCommand.List -> value(1, if (lists++ == 0) 91 else 89)
                         is StoreCommand.Watch -> {
@@ -171,7 +171,7 @@
 
         // Guards against a change that a watch from a revision of the earlier timeline misses.
         test("after a restore that another part has noticed, the configuration is read before it is watched") {
-            val timelines = StoreTimelines().apply { accept(StoreTimeline.UNKNOWN, StoreTimeline(1)) }
+            val timelines = StoreTimelines().apply { accept(StoreTimeline(1)) }
             val watched = mutableListOf<Long>()
             val seen = mutableListOf<Long>()
             var lists = 0
@@ -180,7 +180,7 @@
                     when {
                         command is StoreCommand.List && ++lists == 1 -> value(11, 91)
                         command is StoreCommand.List && lists == 2 -> {
-                            timelines.accept(timelines.current, StoreTimeline(2))
+                            timelines.accept(StoreTimeline(2))
                             lost
                         }
                         command is StoreCommand.List -> value(14, 90)
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/EntryMembershipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/EntryMembershipTest.kt
@@ -29,7 +29,7 @@
 
 /** A store whose leases do not expire during a test. Lists omit the [hidden] keys. */
 private class FakeStore {
-    val timelines = StoreTimelines().apply { accept(StoreTimeline.UNKNOWN, StoreTimeline(1)) }
+    val timelines = StoreTimelines().apply { accept(StoreTimeline(1)) }
     var values = LinkedHashMap<StoreKey, StoredValue>()
     var hidden = emptySet<StoreKey>()
     private val keyLeases = HashMap<StoreKey, LeaseId?>()
@@ -49,7 +49,7 @@
     fun restoreEmpty() {
         values = LinkedHashMap()
         revision = 0
-        timelines.accept(timelines.current, StoreTimeline(timelines.current.value + 1))
+        timelines.accept(StoreTimeline(timelines.current.value + 1))
     }
 
     /** Removes the keys of [lease]. */
