Ask for exhausted limits instead of the limit of every upstream

Each choice of a target asked for the limit of all upstreams of the service, though hardly any has one, created a row for each, and copied the engines of each search to mark those that may not be first. Only upstreams that have announced a limit are looked at now, and the view of the engines marks them itself.

Targets are chosen as before: SharedRatesTest (a new case for the set), AnnouncedLimitTest, PathSearchTest, PlainBalancerTest, UpstreamTrafficTest and EntriesOnPlatformTest pass. The saving was not measured.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
@@ -18,16 +18,24 @@
     private val peers: PeerLoads,
     private val profile: EngineProfile,
 ) {
-    /** The usable engines among [records] that are not in [excluded]. [entries] is the number of running entries. */
+    /**
+     * The usable engines among [records] that are not in [excluded]. [entries] is the number of running entries. No new
+     * stream may begin at the engines in [notFirst].
+     */
     fun pathEngines(
         records: List<UpstreamRecord>,
         excluded: Set<InstanceId>,
         entries: Int,
         now: Moment,
+        notFirst: Set<InstanceId> = emptySet(),
     ): List<PathEngine> {
         val loadScale = loadScale(entries, now)
         return records.mapNotNull { record ->
-            if (record.isDraining || record.id in excluded) null else pathEngine(record, loadScale, now)
+            if (record.isDraining || record.id in excluded) {
+                null
+            } else {
+                pathEngine(record, loadScale, now, mayBeFirst = record.id !in notFirst)
+            }
         }
     }
 
@@ -47,7 +55,7 @@
     private fun loadScale(entries: Int, now: Moment): Double =
         (entries.toDouble() / (1 + peers.reportingCount(now))).coerceIn(1.0, MAX_LOAD_SCALE)
 
-    private fun pathEngine(record: UpstreamRecord, loadScale: Double, now: Moment): PathEngine? {
+    private fun pathEngine(record: UpstreamRecord, loadScale: Double, now: Moment, mayBeFirst: Boolean): PathEngine? {
         val layers = record.layers ?: return null
         val accelerator = profile.kinds[record.kind] ?: return null
         val row = traffic[record.id]
@@ -64,6 +72,7 @@
             tokenLayerCapacity =
             profile.kvCapacityTokens(accelerator, layers.size).toDouble() * layers.size * row.kvCapacityFactor(now),
             slowness = row.slowness,
+            mayBeFirst = mayBeFirst,
         )
     }
 
--- a/core/src/main/kotlin/io/mimosatrail/core/limits/SharedRates.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/limits/SharedRates.kt
@@ -81,6 +81,10 @@
     /** True if this entry may send a request to [upstream] now. */
     fun maySend(upstream: InstanceId, now: Moment): Boolean = timeUntilSend(upstream, now) == Duration.ZERO
 
+    /** Upstreams with a limit to which this entry may not send a request now. */
+    fun exhausted(now: Moment): Set<InstanceId> =
+        announced.all.filter { it.perSecond != null && !maySend(it.upstream, now) }.mapTo(HashSet()) { it.upstream }
+
     /** Time until this entry may send a request to [upstream]; infinite if it gets no share of the limit. */
     fun timeUntilSend(upstream: InstanceId, now: Moment): Duration =
         bucket(upstream, now)?.timeUntil(1.0, now) ?: Duration.ZERO
--- a/core/src/test/kotlin/io/mimosatrail/core/limits/SharedRatesTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/limits/SharedRatesTest.kt
@@ -101,6 +101,17 @@
             rates.maySend(upstream, start) shouldBe true
         }
 
+        test("only limited upstreams without room are exhausted") {
+            val rates = twoEntries()
+            val full = InstanceId("i-full")
+            rates.onAnswer(full, 1.0, start, start)
+            rates.onAnswer(upstream, 8.0, start, start)
+            val now = start + 3.seconds
+            while (rates.maySend(full, now)) rates.onSend(full, now)
+            rates.onSend(InstanceId("i-unlimited"), now)
+            rates.exhausted(now) shouldBe setOf(full)
+        }
+
         test("a limit that another entry reports applies, and ends when that entry reports so") {
             val rates = twoEntries()
             rates.onReports(peer, listOf(report(4.0, ageMillis = 100)), start + 1.seconds) shouldBe listOf(upstream)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/TargetChoosers.kt
@@ -12,8 +12,9 @@
 /** Chooses one upstream of a plain service. */
 internal class PlainTargetChooser(private val call: RoutedCall, private val context: ForwardContext) : TargetChooser {
     override fun choose(excluded: Set<InstanceId>): Target? {
-        val upstreams = context.registry.of(call.service.id).filter { context.limits.maySend(it.id) }
-        return context.balancer.choose(upstreams, excluded, context.clock())?.let { Target(it, emptyList(), 0) }
+        val upstreams = context.registry.of(call.service.id)
+        val notUsed = excluded + context.limits.exhausted()
+        return context.balancer.choose(upstreams, notUsed, context.clock())?.let { Target(it, emptyList(), 0) }
     }
 
     override fun possibleUpstreams(excluded: Set<InstanceId>): List<InstanceId> =
@@ -31,8 +32,11 @@
     private val demand = demand()
 
     override fun choose(excluded: Set<InstanceId>): Target? {
-        val limited = engines().filterNot { context.limits.maySend(it.id) }.map { it.id }.toSet()
-        val path = findPath(SearchKey(call.service.id, excluded, notFirst = limited)) ?: return null
+        val exhausted = context.limits.exhausted().filterTo(HashSet()) {
+            context.registry[it]?.service ==
+                call.service.id
+        }
+        val path = findPath(SearchKey(call.service.id, excluded, notFirst = exhausted)) ?: return null
         val first = context.registry[path.first().engine.id] ?: return null
         return Target(first, path, demand.tokens)
     }
@@ -56,7 +60,8 @@
             key.excluded,
             context.share().entries,
             now,
-        ).map { if (it.id in key.notFirst) it.copy(mayBeFirst = false) else it }
+            key.notFirst,
+        )
         val path = search.best(engines, demand, firstSegment)?.segments
         if (path == null) context.failedSearches.add(key, now) else chargeLinks(path)
         return path
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamLimits.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamLimits.kt
@@ -13,7 +13,7 @@
 
 /**
  * Limits that upstreams announce in their answers on the requests that they accept from all entries together. Whatever
- * chooses an upstream for a request asks [maySend] and calls [onSend].
+ * chooses an upstream for a request asks [maySend] or [exhausted] and calls [onSend].
  */
 internal class UpstreamLimits(self: InstanceId, registered: () -> RegisteredEntries, private val clock: Clock) {
     private val rates = SharedRates(self, { registered().ids }, { registered().entries })
@@ -36,6 +36,9 @@
     /** True if this entry may send a request to [upstream] now. */
     fun maySend(upstream: InstanceId): Boolean = rates.maySend(upstream, clock())
 
+    /** Upstreams to which this entry may not send a request now because of their limits. */
+    fun exhausted(): Set<InstanceId> = rates.exhausted(clock())
+
     /** Records that a request is about to be sent to [upstream]. */
     fun onSend(upstream: InstanceId) = rates.onSend(upstream, clock())
 
