Move the refusals of a forwarded request to a file of their own

They are RequestRefusals now, which depends on the call and on the history of its sends only. Every refusal has the same outcome, reason, step, peer, detail and Retry-After as before.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -2,12 +2,8 @@
 
 import io.mimosatrail.core.front.RouteKind
 import io.mimosatrail.core.id.InstanceId
-import io.mimosatrail.core.id.PromptPartId
 import io.mimosatrail.core.id.RequestId
-import io.mimosatrail.core.outcome.Outcome
 import io.mimosatrail.core.outcome.Refusal
-import io.mimosatrail.core.outcome.RefusalReason
-import io.mimosatrail.core.outcome.Step
 import io.mimosatrail.core.send.SendEnd
 import io.mimosatrail.core.send.SendHistory
 import io.mimosatrail.core.stall.StreamActivity
@@ -33,6 +29,7 @@
 ) {
     private val history = SendHistory(call.route)
     private val response = CallerResponse(call, context)
+    private val refusals = RequestRefusals(call, history)
     private var attempt: Attempt? = null
     private var failedConnects = 0
     private var isFinished = false
@@ -77,7 +74,9 @@
     }
 
     private fun sendNext() {
-        context.quarantine.find(call.fields.sharedParts, context.clock())?.let { return finish(quarantineRefusal(it)) }
+        context.quarantine.find(call.fields.sharedParts, context.clock())?.let {
+            return finish(refusals.quarantined(it))
+        }
         val target = preparedTarget ?: choose() ?: return onNoTarget()
         preparedTarget = null
         noTargetSince = null
@@ -104,7 +103,7 @@
                 noTargetSince = now
                 if (!response.hasBegun) refuseIfHopeless(limit)
             }
-            now - since >= limit -> finish(noTargetRefusal(RETRY_AFTER_NO_CAPACITY))
+            now - since >= limit -> finish(refusals.noTarget())
         }
     }
 
@@ -112,7 +111,7 @@
     private fun refuseIfHopeless(limit: Duration) {
         val wait = context.limits.timeUntilSend(targets.possibleUpstreams(excluded()), waitingBefore())
         if (wait < limit) return
-        finish(noTargetRefusal(if (wait.isFinite()) minOf(wait, MAX_RETRY_AFTER) else RETRY_AFTER_NO_CAPACITY))
+        finish(if (wait.isFinite()) refusals.noTarget(minOf(wait, MAX_RETRY_AFTER)) else refusals.noTarget())
     }
 
     /** Number of other requests for the same service that wait for a target. */
@@ -127,7 +126,7 @@
         unreachable += upstream
         failedConnects++
         log("not-connected", ended, "detail" to detail)
-        if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(busyRefusal(Step.SEND, detail))
+        if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(refusals.busy(detail))
     }
 
     private fun onFailed(ended: Attempt, end: SendEnd, detail: String) {
@@ -138,16 +137,16 @@
         log("send-failed", ended, "end" to end, "detail" to detail)
         val obstacle = retryObstacle() ?: return sendAgain()
         log("not-sent-again", ended, "reason" to obstacle)
-        finish(failureRefusal(ended, end, detail))
+        finish(refusals.failed(ended.target.upstream.id, end, detail))
     }
 
     /** Starts another attempt. From the second refusal on, it is delayed by a pause that grows with each refusal. */
     private fun sendAgain() {
-        val refusals = history.notRunSends
-        if (refusals < IMMEDIATE_REFUSALS) return sendNext()
+        val refused = history.notRunSends
+        if (refused < IMMEDIATE_REFUSALS) return sendNext()
         preparedTarget?.let(::discard)
         preparedTarget = null
-        retryAt = context.clock() + REFUSAL_PAUSE * (refusals - IMMEDIATE_REFUSALS + 1)
+        retryAt = context.clock() + REFUSAL_PAUSE * (refused - IMMEDIATE_REFUSALS + 1)
     }
 
     /** Why the request is not sent again, or null if it is; a retry has been acquired for it then. */
@@ -190,14 +189,7 @@
         pending?.abort()
         attempt = null
         if (hadSent) history.onEnd(SendEnd.SILENT)
-        val detail = "no answer within ${call.timeout}"
-        finish(
-            if (history.hasNotRun) {
-                busyRefusal(Step.SEND, detail)
-            } else {
-                refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, pending, detail)
-            },
-        )
+        finish(refusals.deadline(pending?.target?.upstream?.id))
     }
 
     private fun onDisconnected() {
@@ -219,41 +211,6 @@
         context.inFlight -= this
     }
 
-    private fun quarantineRefusal(part: PromptPartId) = refusal(
-        if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN,
-        RefusalReason.QUARANTINED,
-        Step.ROUTE,
-        null,
-        "upstreams crashed under requests with prompt part $part",
-    )
-
-    private fun noTargetRefusal(retryAfter: Duration) = refusal(
-        if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN,
-        RefusalReason.NO_UPSTREAM,
-        Step.ROUTE,
-        null,
-        "no upstream of ${call.service.id} has room",
-        retryAfter,
-    )
-
-    private fun busyRefusal(step: Step, detail: String) =
-        refusal(Outcome.NOT_RUN, RefusalReason.BUSY, step, null, detail, RETRY_AFTER_BUSY)
-
-    private fun failureRefusal(ended: Attempt, end: SendEnd, detail: String): Refusal = when {
-        history.hasNotRun -> busyRefusal(Step.SEND, "$end at ${ended.target.upstream.id}: $detail")
-        end == SendEnd.SILENT -> refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, ended, detail)
-        else -> refusal(Outcome.UNKNOWN, RefusalReason.UPSTREAM_ERROR, Step.ANSWER, ended, detail)
-    }
-
-    private fun refusal(
-        outcome: Outcome,
-        reason: RefusalReason,
-        step: Step,
-        at: Attempt?,
-        detail: String,
-        retryAfter: Duration? = null,
-    ) = Refusal(outcome, reason, step, at?.target?.upstream?.id, detail, retryAfter?.inWholeMilliseconds)
-
     private fun log(event: String, at: Attempt?, vararg more: Pair<String, Any?>) = logEvent(
         "forward",
         event,
@@ -419,13 +376,7 @@
         /** The request is not sent again if less time than this is left. */
         val MIN_TIME_FOR_SEND = 50.milliseconds
 
-        /** Capacity is freed as streams end, a few per second at each engine. */
-        val RETRY_AFTER_NO_CAPACITY = 700.milliseconds
-
         /** Limits change within seconds, and another entry may have room earlier. */
         val MAX_RETRY_AFTER = 3.seconds
-
-        /** About the duration of one response; then a refusing upstream may accept again. */
-        val RETRY_AFTER_BUSY = 400.milliseconds
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRefusals.kt
@@ -0,0 +1,70 @@
+package io.mimosatrail.gateway.forward
+
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PromptPartId
+import io.mimosatrail.core.outcome.Outcome
+import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.outcome.RefusalReason
+import io.mimosatrail.core.outcome.Step
+import io.mimosatrail.core.send.SendEnd
+import io.mimosatrail.core.send.SendHistory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The refusals of one request. Each states that the request has not run only if [history] shows that. */
+internal class RequestRefusals(private val call: RoutedCall, private val history: SendHistory) {
+    /** The prompt contains [part], which is quarantined. */
+    fun quarantined(part: PromptPartId) = refusal(
+        outcome(),
+        RefusalReason.QUARANTINED,
+        Step.ROUTE,
+        null,
+        "upstreams crashed under requests with prompt part $part",
+    )
+
+    /** No upstream can take the request; one may [retryAfter] from now. */
+    fun noTarget(retryAfter: Duration = RETRY_AFTER_NO_CAPACITY) = refusal(
+        outcome(),
+        RefusalReason.NO_UPSTREAM,
+        Step.ROUTE,
+        null,
+        "no upstream of ${call.service.id} has room",
+        retryAfter,
+    )
+
+    /** The request has not run and could not be sent, or every upstream refused it. */
+    fun busy(detail: String) = refusal(Outcome.NOT_RUN, RefusalReason.BUSY, Step.SEND, null, detail, RETRY_AFTER_BUSY)
+
+    /** The last send, to [upstream], ended as [end] and the request is not sent again. */
+    fun failed(upstream: InstanceId, end: SendEnd, detail: String): Refusal = when {
+        history.hasNotRun -> busy("$end at $upstream: $detail")
+        end == SendEnd.SILENT -> refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, upstream, detail)
+        else -> refusal(Outcome.UNKNOWN, RefusalReason.UPSTREAM_ERROR, Step.ANSWER, upstream, detail)
+    }
+
+    /** The deadline has passed; [upstream] had not answered, null if no send was open. */
+    fun deadline(upstream: InstanceId?): Refusal {
+        val detail = "no answer within ${call.timeout}"
+        if (history.hasNotRun) return busy(detail)
+        return refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, upstream, detail)
+    }
+
+    private fun outcome() = if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN
+
+    private fun refusal(
+        outcome: Outcome,
+        reason: RefusalReason,
+        step: Step,
+        upstream: InstanceId?,
+        detail: String,
+        retryAfter: Duration? = null,
+    ) = Refusal(outcome, reason, step, upstream, detail, retryAfter?.inWholeMilliseconds)
+
+    private companion object {
+        /** Capacity is freed as streams end, a few per second at each engine. */
+        val RETRY_AFTER_NO_CAPACITY = 700.milliseconds
+
+        /** About the duration of one response; then a refusing upstream may accept again. */
+        val RETRY_AFTER_BUSY = 400.milliseconds
+    }
+}
