Build the records of two registry tests with one function

AnnouncedRatesTest had copied the builder of UpstreamRegistryTest. Both use upstreamRecord now; cases and expected results are the same. The builders of the balance tests differ in the fields that they set and stay.

--- a/core/src/test/kotlin/io/mimosatrail/core/limits/AnnouncedRatesTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/limits/AnnouncedRatesTest.kt
@@ -4,11 +4,8 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import io.mimosatrail.core.id.InstanceId
-import io.mimosatrail.core.id.PlaceId
-import io.mimosatrail.core.id.ServiceId
-import io.mimosatrail.core.net.PeerAddress
 import io.mimosatrail.core.registry.RegistryChange
-import io.mimosatrail.core.registry.UpstreamRecord
+import io.mimosatrail.core.registry.upstreamRecord
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,16 +17,6 @@
 /** An answer received at [received] to a request sent at [sent] that announces [perSecond]; times since the start. */
 private data class AnswerCase(val sent: Duration, val received: Duration, val perSecond: Double?)
 
-private fun record(startedMillis: Long) = UpstreamRecord(
-    id = upstream,
-    service = ServiceId("s"),
-    address = PeerAddress("10.0.0.1", 80),
-    place = PlaceId("p"),
-    isDraining = false,
-    slots = 4,
-    startedMillis = startedMillis,
-)
-
 private fun limited() = AnnouncedRates().apply { onAnswer(upstream, 7.5, start, start + 1.seconds) }
 
 class AnnouncedRatesTest :
@@ -62,13 +49,25 @@
 
         test("the limit of an upstream ends when it restarts or leaves") {
             val changes =
-                listOf(RegistryChange(upstream, record(1), record(2)), RegistryChange(upstream, record(1), null))
+                listOf(
+                    RegistryChange(
+                        upstream,
+                        upstreamRecord("i-1", startedMillis = 1),
+                        upstreamRecord("i-1", startedMillis = 2),
+                    ),
+                    RegistryChange(upstream, upstreamRecord("i-1", startedMillis = 1), null),
+                )
             changes.map { change -> limited().apply { onRegistry(listOf(change)) }[upstream] } shouldBe
                 listOf(null, null)
         }
 
         test("the limit is kept when only the registry entry of the upstream changes") {
-            val change = RegistryChange(upstream, record(1), record(1).copy(isDraining = true))
+            val change =
+                RegistryChange(
+                    upstream,
+                    upstreamRecord("i-1", startedMillis = 1),
+                    upstreamRecord("i-1", startedMillis = 1).copy(isDraining = true),
+                )
             limited().apply { onRegistry(listOf(change)) }[upstream] shouldBe 7.5
         }
     })
