--- a/core/src/main/kotlin/io/mimosatrail/core/limits/AnnouncedRates.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/limits/AnnouncedRates.kt
@@ -37,7 +37,7 @@
         return known?.perSecond != announcement.perSecond
     }
 
-    /** Forgets the announcements of upstreams that restarted or left. */
+    /** Removes the announcements of upstreams that restarted or left. */
     fun onRegistry(changes: List<RegistryChange>) {
         for (change in changes) {
             if (change.before?.startedMillis != change.after?.startedMillis) newest -= change.id
--- a/core/src/main/kotlin/io/mimosatrail/core/limits/SharedRates.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/limits/SharedRates.kt
@@ -105,7 +105,7 @@
         row(upstream).recentSends.remove(now)
     }
 
-    /** Forgets upstreams that restarted or left. */
+    /** Removes what is known of upstreams that restarted or left. */
     fun onRegistry(changes: List<RegistryChange>) {
         announced.onRegistry(changes)
         changes.filter { it.after == null }.forEach { upstreams -= it.id }
@@ -133,8 +133,9 @@
         val isCurrent = row.sharedAt?.let { now - it < SHARE_PERIOD } ?: false
         if (isCurrent && row.bucket != null) return row.bucket
         row.sharedAt = now
-        val users = users(upstream, maxOf(rate, LEAST_RATE), now)
-        val share = if (self in users.ids) share(row, users, maxOf(rate, LEAST_RATE), now) else 0.0
+        val assumed = maxOf(rate, LEAST_RATE)
+        val users = users(upstream, assumed, now)
+        val share = if (self in users.ids) share(row, users, assumed, now) else 0.0
         val burst = if (share > 0) maxOf(1.0, (rate + SAVED_REQUESTS) / users.count) else 0.0
         val known = row.bucket
         if (known != null) return known.apply { resize(share, burst, now) }
--- a/core/src/main/kotlin/io/mimosatrail/core/net/HttpResult.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/net/HttpResult.kt
@@ -4,7 +4,7 @@
 sealed interface HttpResult {
     /**
      * The server responded with [status]. [tag] is the value of the ETag header, or null if there was none. [headers]
-     * are the other headers as far as the client collects them, by lower-case names.
+     * are the headers by their lower-case names; empty if the client does not collect them.
      */
     class Answered(
         val status: Int,
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamLimits.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamLimits.kt
@@ -56,7 +56,7 @@
         return if (perSecond > 0) soonest + 1.seconds * (waiting / perSecond) else Duration.INFINITE
     }
 
-    /** Forgets the limits of upstreams that restarted or left. */
+    /** Removes the limits of upstreams that restarted or left. */
     fun onRegistry(changes: List<RegistryChange>) = rates.onRegistry(changes)
 
     private fun log(upstream: InstanceId, source: String) =
--- a/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvTable.kt
+++ b/standins/src/main/kotlin/io/mimosatrail/standins/platform/KvTable.kt
@@ -23,7 +23,7 @@
     var revision = 1L
         private set
 
-    /** Number of restores from a backup. */
+    /** Number of the timeline. Each restore from a backup begins the next one. */
     var timeline = 1L
         private set
 
