Log how late the entry was when it reported an engine as down

Change: 'stalls: probed' has the longest interval between two ticks during the probe, 'send-failed' the silence of the send, 'not-sent-again' the retries used and allowed, 'configuration: in-force' the time it took to decode, and 'gossip: engine-down' names the entry on whose report this one acts.

Result: StallWatchTest, RetryBudgetsTest, RetryWindowTest, LoadGossipTest and ConfigurationFollowerTest pass.

--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
@@ -30,6 +30,9 @@
     fun tryAcquire(service: ServiceId, now: Moment, hasBegun: Boolean = true): Boolean =
         budget(service, now).tryAcquire(now, if (hasBegun) 0.0 else RESERVED_FRACTION)
 
+    /** Retries of [service] in the current window and how many of them this entry may make. */
+    fun usage(service: ServiceId, now: Moment): RetryUsage = budget(service, now).usage(now)
+
     private fun budget(service: ServiceId, now: Moment): RetryWindow {
         val share = slack * USED_FRACTION / assumedEntries(now)
         return budgets.getOrPut(service) { RetryWindow(ratio * USED_FRACTION, share, window) }.also { it.slack = share }
--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
@@ -3,6 +3,9 @@
 import io.mimosatrail.core.time.Moment
 import kotlin.time.Duration
 
+/** The number of [used] retries of a window and the limit on them. */
+data class RetryUsage(val used: Long, val allowed: Double)
+
 /**
  * Sliding-window limit: within any time span of length [window], retries are at most [ratio] of the first attempts plus
  * [slack]. Attempts are counted in slices of a tenth of the window, and first attempts count for up to one slice longer
@@ -23,11 +26,19 @@
     /** Takes one retry from the budget, or returns false if none is left beyond the part [reserved] of it, 0 to 1. */
     fun tryAcquire(now: Moment, reserved: Double = 0.0): Boolean {
         advance(now)
-        if (retries.sum() + 1 > (ratio * firstAttempts.sum() + slack) * (1 - reserved)) return false
+        if (retries.sum() + 1 > allowed() * (1 - reserved)) return false
         retries[index(current)]++
         return true
     }
 
+    /** Retries in the current window and the limit on them. */
+    fun usage(now: Moment): RetryUsage {
+        advance(now)
+        return RetryUsage(retries.sum(), allowed())
+    }
+
+    private fun allowed(): Double = ratio * firstAttempts.sum() + slack
+
     private fun advance(now: Moment) {
         val number = now.nanos / slice.inWholeNanoseconds
         val passed = (number - current).coerceAtMost(SLICES + 1L)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/ConfigurationFollower.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.measureTimedValue
 
 /**
  * Keeps [current] up to date with the operators' configuration stored under [key]. It never returns to an older one,
@@ -87,10 +88,10 @@
         val position = StorePosition(timelines.current, value.revision)
         if (lastRead?.let { position <= it } ?: false) return
         lastRead = position
-        val decoded = decode(value.value)
+        val (decoded, decodeTime) = measureTimedValue { decode(value.value) }
         if (decoded == null) return logProblem("configuration", "unreadable", "position" to position)
-        if (isOlder(decoded, position)) return log("ignored", decoded, position)
-        log("in-force", decoded, position)
+        if (isOlder(decoded, position)) return log("ignored", decoded, position, decodeTime)
+        log("in-force", decoded, position, decodeTime)
         inForceSince = position.timeline
         current = decoded
         onChange(decoded)
@@ -100,7 +101,7 @@
     private fun isOlder(read: FrontConfiguration, position: StorePosition): Boolean =
         position.timeline != inForceSince && current?.let { read.version < it.version } ?: false
 
-    private fun log(event: String, read: FrontConfiguration, position: StorePosition) = logEvent(
+    private fun log(event: String, read: FrontConfiguration, position: StorePosition, decodeTime: Duration) = logEvent(
         "configuration",
         event,
         "version" to read.version,
@@ -108,6 +109,7 @@
         "previous" to current?.version,
         "routes" to read.routeCount,
         "services" to read.services.size,
+        "decode-time" to decodeTime,
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -134,9 +134,10 @@
         attempt = null
         history.onEnd(end)
         context.meters.onSendEnd(end.name)
-        log("send-failed", ended, "end" to end, "detail" to detail)
+        log("send-failed", ended, "end" to end, "detail" to detail, "silence" to ended.silence(context.clock()))
         val obstacle = retryObstacle() ?: return sendAgain()
-        log("not-sent-again", ended, "reason" to obstacle)
+        val retries = context.retries.usage(call.service.id, context.clock())
+        log("not-sent-again", ended, "reason" to obstacle, "retries" to retries.used, "allowed" to retries.allowed)
         finish(refusals.failed(ended.target.upstream.id, end, detail))
     }
 
@@ -252,6 +253,9 @@
         fun streamActivity(now: Moment): StreamActivity? =
             if (isRedirecting || target.path.isEmpty()) null else exchange.streamActivity(now)
 
+        /** Time since the upstream last sent anything. */
+        fun silence(now: Moment): Duration = exchange.silence(now)
+
         fun setReading(isReading: Boolean) = exchange.setReading(isReading)
 
         fun abort() {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.launch
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -35,20 +36,26 @@
     private val lastProbes = HashMap<InstanceId, Moment>()
     private var lastTick: Moment? = null
 
+    /** Longest interval between two ticks since the last probe began. */
+    private var longestInterval = Duration.ZERO
+
     /**
      * Checks the open streams and probes suspected engines. Does nothing if the previous tick was too long ago: the
      * process itself was paused then, and the silence of its streams says nothing about engines.
      */
     fun tick(now: Moment) {
-        val isOnTime = lastTick?.let { now - it < MAX_TICK_INTERVAL } ?: false
+        val interval = lastTick?.let { now - it }
         lastTick = now
-        if (!isOnTime) return
+        if (interval == null) return
+        longestInterval = maxOf(longestInterval, interval)
+        if (interval >= MAX_TICK_INTERVAL) return
         val due = detector.findSuspects(streamActivities(now))
             .filter { lastProbes[it]?.let { at -> now - at >= PROBE_INTERVAL } ?: true }
             .mapNotNull { registry[it] }.filterNot { traffic[it.id].isPresumedDown(now) }
         if (due.isEmpty()) return
         lastProbes.values.removeIf { now - it >= PROBE_INTERVAL }
         due.forEach { lastProbes[it.id] = now }
+        longestInterval = Duration.ZERO
         scope.launch { probe(due) }
     }
 
@@ -65,6 +72,7 @@
             "engines" to due.size,
             "silent" to silent.map { it.id },
             "receiving" to isReceiving,
+            "longest-tick" to longestInterval,
         )
         if (isReceiving) silent.forEach(::onSilent)
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/gossip/LoadGossip.kt
@@ -7,6 +7,7 @@
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.forward.UpstreamState
+import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.log.logProblem
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
@@ -98,7 +99,9 @@
             logProblem("gossip", "part-quarantined", "part" to part, "from" to message.from)
         }
         for (engine in message.detectedDown) {
-            if (upstreams.traffic.onReportedDown(engine, now)) onReportedDown(engine)
+            if (!upstreams.traffic.onReportedDown(engine, now)) continue
+            logEvent("gossip", "engine-down", "engine" to engine, "from" to message.from)
+            onReportedDown(engine)
         }
     }
 
