Report engines as down only if this entry was on time while it probed them

Cause: an entry that is busy with a configuration reads nothing for some time. To its stall watch all streams look silent, and the engines don't respond within 40 ms, as their responses wait to be read. It reports healthy engines as down, and all other entries give up their streams. The watch asked only whether the tick before the probe was on time.

Change: a verdict counts only if no tick during the probe was late by more than one period, and only for engines that the streams still suspect when the probe ends. After a late probe the engines are probed again at once.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
@@ -59,22 +59,30 @@
         scope.launch { probe(due) }
     }
 
-    /** Probes all of [due]. Silent ones are down only if this process still receives data from other engines. */
+    /**
+     * Probes all of [due]. Silent ones are down only if this process still receives data from other engines, was on time
+     * throughout the probe, and no stream through them has continued meanwhile.
+     */
     private suspend fun probe(due: List<UpstreamRecord>) {
         val results = due.map { engine ->
             scope.async { engine to engines.isResponsive(engine, PROBE_TIMEOUT) }
         }.awaitAll()
         val silent = results.filterNot { it.second }.map { it.first }
-        val isReceiving = silent.size < due.size || detector.isReceiving(streamActivities(clock()))
+        val now = clock()
+        val activities = streamActivities(now)
+        val longestTick = maxOf(longestInterval, lastTick?.let { now - it } ?: Duration.ZERO)
+        val isReceiving = silent.size < due.size || detector.isReceiving(activities)
         logEvent(
             "stalls",
             "probed",
             "engines" to due.size,
             "silent" to silent.map { it.id },
             "receiving" to isReceiving,
-            "longest-tick" to longestInterval,
+            "longest-tick" to longestTick,
         )
-        if (isReceiving) silent.forEach(::onSilent)
+        if (longestTick > MAX_PROBE_TICK_INTERVAL) return silent.forEach { lastProbes -= it.id }
+        val suspects = detector.findSuspects(activities)
+        if (isReceiving) silent.filter { it.id in suspects }.forEach(::onSilent)
     }
 
     private fun onSilent(engine: UpstreamRecord) {
@@ -90,6 +98,9 @@
         /** A longer interval between two ticks means that the process was paused. */
         private val MAX_TICK_INTERVAL = 60.milliseconds
 
+        /** A longer interval between two ticks during a probe means that its responses may wait to be read. */
+        private val MAX_PROBE_TICK_INTERVAL = PERIOD * 2
+
         /** Engines respond within a few milliseconds. A probe whose packet is lost takes longer and fails. */
         private val PROBE_TIMEOUT = 40.milliseconds
 
