Keep a silent send open until another upstream has answered

Callers saw streams that were cut, with neither an answer nor a refusal, beside changes of the configuration (LOST).

Cause: an entry ended a send that was only silent as soon as a retry was prepared. If the next upstream then refused and the retry budget was used up, nothing was left: the stream was cut although its first upstream had gone on meanwhile. The class of the fault: what exists is given up before its replacement is secured. It was the same where a stream could not be redirected around an engine, where no way around it was left, and for lookups without an answer.

Change: a silent send stays open while the request is also sent to another upstream, within the route's limit of upstreams and the retry budget. The first of the two that passes bytes to the caller ends the other. If one fails, the other goes on; the request fails only with the last one. SendHistory knows several open sends of a repeatable request; a request that must not be repeated still has one at most.

--- a/core/src/test/kotlin/io/mimosatrail/core/send/SendHistoryTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/send/SendHistoryTest.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.core.send
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
@@ -28,7 +29,7 @@
     SendHistory(route(kind, isResumable)).apply {
         ends.forEachIndexed { index, end ->
             onSend(InstanceId("u$index"))
-            onEnd(end)
+            onEnd(InstanceId("u$index"), end)
         }
     }
 
@@ -71,6 +72,50 @@
             }
         }
 
+        context("whether a second send may be open beside the first") {
+            data class Case(
+                val kind: RouteKind,
+                val isResumable: Boolean,
+                val maxUpstreams: Int,
+                val ended: List<SendEnd>,
+                val mayRetryAfterRun: Boolean,
+            )
+            withData(
+                nameFn = { case: Case -> case.toString() },
+                Case(RouteKind.NON_IDEMPOTENT, false, 2, emptyList(), mayRetryAfterRun = false),
+                Case(RouteKind.STREAMING, false, 2, emptyList(), mayRetryAfterRun = false),
+                Case(RouteKind.STREAMING, true, 2, emptyList(), mayRetryAfterRun = true),
+                Case(RouteKind.IDEMPOTENT, false, 2, emptyList(), mayRetryAfterRun = true),
+                Case(RouteKind.IDEMPOTENT, false, 1, emptyList(), mayRetryAfterRun = false),
+                Case(RouteKind.IDEMPOTENT, false, 2, listOf(SendEnd.BROKEN), mayRetryAfterRun = false),
+                Case(RouteKind.IDEMPOTENT, false, 3, listOf(SendEnd.BROKEN), mayRetryAfterRun = true),
+                Case(RouteKind.IDEMPOTENT, false, 2, listOf(SendEnd.REJECTED), mayRetryAfterRun = true),
+            ) { case ->
+                val history = SendHistory(route(case.kind, case.isResumable, case.maxUpstreams))
+                case.ended.forEachIndexed { index, end ->
+                    history.onSend(InstanceId("u$index"))
+                    history.onEnd(InstanceId("u$index"), end)
+                }
+                history.onSend(InstanceId("open"))
+                history.hasNotRun shouldBe false
+                history.mayRetryAfterRun() shouldBe case.mayRetryAfterRun
+                history.maySendAgain() shouldBe case.mayRetryAfterRun
+                if (!case.mayRetryAfterRun) shouldThrow<IllegalStateException> { history.onSend(InstanceId("other")) }
+            }
+        }
+
+        test("upstreams of open sends are excluded, and the request may run until the last one has ended") {
+            val history = SendHistory(route(RouteKind.IDEMPOTENT))
+            history.onSend(InstanceId("a"))
+            history.onSend(InstanceId("b"))
+            history.excludedUpstreams shouldBe setOf(InstanceId("a"), InstanceId("b"))
+            history.onEnd(InstanceId("b"), SendEnd.REJECTED)
+            history.hasNotRun shouldBe false
+            history.excludedUpstreams shouldBe setOf(InstanceId("a"))
+            history.onEnd(InstanceId("a"), SendEnd.NOT_SENT)
+            history.hasNotRun shouldBe true
+        }
+
         test("an upstream that may have run the request is excluded, one that refused it is not") {
             val history = history(RouteKind.IDEMPOTENT, false, SendEnd.REJECTED, SendEnd.BROKEN)
             history.excludedUpstreams shouldBe setOf(InstanceId("u1"))
--- a/core/src/test/kotlin/io/mimosatrail/core/send/SendScheduleTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/send/SendScheduleTest.kt
@@ -64,6 +64,9 @@
     InjectedBug("refusals are not counted", Guarantee.TERMINATES, countsRefusals = false),
 )
 
+/** A send that was left open and will end as [end]. */
+private class OpenSend(val upstream: InstanceId, val end: SendEnd)
+
 /** Simulates one request under a random schedule, with [bug] injected if it is not null. */
 private class Simulation(private val random: Random, private val bug: InjectedBug?) {
     private val kind = RouteKind.entries.random(random)
@@ -72,28 +75,43 @@
     private val behaviors = Behavior.entries.filter { random.nextInt(3) > 0 }.ifEmpty { Behavior.entries }
     private var history = newHistory()
     private var runs = 0
+
+    /** True if a send may be left open while the request is sent to another upstream. */
+    private val mayOverlap = random.nextBoolean()
+    private val open = ArrayDeque<OpenSend>()
     private var sends = 0
 
     /** Runs the simulation and returns the guarantees that were broken. */
     fun run(): Set<Guarantee> {
         var isAnswered = false
-        while (!isAnswered && sends < MAX_SENDS && history.maySendAgain()) isAnswered = send(behaviors.random(random))
+        while (!isAnswered && sends < MAX_SENDS && (history.maySendAgain() || open.isNotEmpty())) {
+            if (history.maySendAgain()) isAnswered = send(behaviors.random(random)) else endOldest()
+        }
+        while (open.isNotEmpty()) endOldest()
         return Guarantee.entries.filterTo(HashSet(), ::isBroken)
     }
 
     /** Returns true if the request got a complete answer. */
     private fun send(behavior: Behavior): Boolean {
-        history.onSend(InstanceId("u${sends++}"))
+        val upstream = InstanceId("u${sends++}")
+        history.onSend(upstream)
         if (behavior.runs) runs++
         if (behavior.end == null) {
-            history.onAnswered()
+            history.onAnswered(upstream)
             return true
         }
-        history.onEnd(bug?.misreads?.invoke(behavior.end) ?: behavior.end)
+        val end = bug?.misreads?.invoke(behavior.end) ?: behavior.end
+        if (mayOverlap && random.nextBoolean()) open += OpenSend(upstream, end) else history.onEnd(upstream, end)
+        if (open.isNotEmpty() && random.nextBoolean()) endOldest()
         if (bug?.countsRefusals == false && history.hasNotRun) history = newHistory()
         return false
     }
 
+    private fun endOldest() {
+        val send = open.removeFirst()
+        history.onEnd(send.upstream, send.end)
+    }
+
     private fun isBroken(guarantee: Guarantee): Boolean {
         val isRepeatable = kind == RouteKind.IDEMPOTENT || isResumable
         return when (guarantee) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
@@ -37,14 +37,15 @@
         call.caller.begin(status, headers.withoutConnectionFields())
     }
 
-    /** Passes [event] to the caller, or drops it if the caller already has it. Takes ownership of its bytes. */
-    fun sendEvent(event: StreamEvent) {
+    /** True if the caller already has [event]. */
+    fun hasSent(event: StreamEvent): Boolean {
         val last = lastEventId
-        if (event.id != null && last != null && event.id <= last) {
-            event.bytes.release()
-            return
-        }
-        lastEventId = event.id ?: last
+        return event.id != null && last != null && event.id <= last
+    }
+
+    /** Passes [event] to the caller. Takes ownership of its bytes. */
+    fun sendEvent(event: StreamEvent) {
+        lastEventId = event.id ?: lastEventId
         timing.onEvent(context.clock())
         call.caller.write(event.bytes)
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ExchangeCallbacks.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ExchangeCallbacks.kt
@@ -4,6 +4,9 @@
 
 /** Events of an [UpstreamExchange], and a decision that it needs while the send is open. */
 internal interface ExchangeCallbacks {
+    /** The first bytes of an event or of a body are about to be passed to the caller. */
+    fun onProgress()
+
     /** The send ended without a response that could be passed to the caller. */
     fun onFailed(end: SendEnd, detail: String)
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -2,18 +2,14 @@
 
 import io.mimosatrail.core.front.RouteKind
 import io.mimosatrail.core.id.InstanceId
-import io.mimosatrail.core.id.RequestId
 import io.mimosatrail.core.outcome.Refusal
 import io.mimosatrail.core.send.SendEnd
 import io.mimosatrail.core.send.SendHistory
 import io.mimosatrail.core.stall.StreamActivity
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
-import io.mimosatrail.gateway.net.ConnectionKey
-import io.mimosatrail.gateway.net.Lease
 import io.mimosatrail.gateway.wire.OrderOutcome
 import io.netty.handler.codec.http.HttpResponseStatus
-import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -21,16 +17,21 @@
 /**
  * Forwards one request to upstreams, retries it where that is allowed, and returns the final response to the caller.
  * Confined to the event loop.
+ *
+ * If an upstream falls silent, a repeatable request is also sent to another one. Both attempts stay open until one of
+ * them passes bytes to the caller, which ends the other.
  */
 internal class ForwardedRequest(
     private val call: RoutedCall,
     private val targets: TargetChooser,
     private val context: ForwardContext,
-) {
+) : AttemptListener {
     private val history = SendHistory(call.route)
     private val response = CallerResponse(call, context)
     private val refusals = RequestRefusals(call, history)
-    private var attempt: Attempt? = null
+
+    /** Open attempts, at most [MAX_OPEN_ATTEMPTS]; all but the last are silent. */
+    private val attempts = mutableListOf<Attempt>()
     private var failedConnects = 0
     private var isFinished = false
 
@@ -41,37 +42,32 @@
     private var retryAt: Moment? = null
     private val unreachable = HashSet<InstanceId>()
 
-    /** Target of the next attempt if it was chosen, and its retry acquired, before the current attempt was aborted. */
+    /** Target of the next attempt if it was chosen, and its retry acquired, before the current attempt ended. */
     private var preparedTarget: Target? = null
 
     /** Starts the first attempt. */
     fun start() {
         context.inFlight += this
         call.caller.onDisconnected = ::onDisconnected
-        call.caller.onWritable = { attempt?.setReading(true) }
+        call.caller.onWritable = { attempts.forEach { it.setReading(true) } }
         context.retries.onFirstAttempt(call.service.id, context.clock())
         sendNext()
     }
 
-    /** Enforces the deadline, starts a delayed attempt, and checks an open attempt for silence. */
+    /** Enforces the deadline, starts a delayed attempt, and checks open attempts for silence. */
     fun onTick(now: Moment) {
         if (isFinished) return
         if (now >= call.deadline) return onDeadline()
-        val pending = attempt
-        if (pending == null) {
-            if (retryAt?.let { now >= it } ?: true) sendNext()
-        } else if (pending.isSilent(now)) {
-            pending.investigate(now)
-        }
+        if (attempts.isNotEmpty()) return attempts.toList().forEach { it.onTick(now) }
+        if (retryAt?.let { now >= it } ?: true) sendNext()
     }
 
-    /** Activity of the stream, or null if its response has not begun, it has no path or it is being redirected. */
-    fun streamActivity(now: Moment): StreamActivity? = attempt?.takeIf { response.hasBegun }?.streamActivity(now)
+    /** Activity of the open attempts of a stream whose response has begun. */
+    fun streamActivities(now: Moment): List<StreamActivity> =
+        if (response.hasBegun) attempts.mapNotNull { it.streamActivity(now) } else emptyList()
 
     /** Redirects the stream around [engine], which is down, if its path contains it. */
-    fun onEngineDown(engine: InstanceId) {
-        if (!isFinished) attempt?.onEngineDown(engine)
-    }
+    fun onEngineDown(engine: InstanceId) = attempts.toList().forEach { it.onEngineDown(engine) }
 
     private fun sendNext() {
         context.quarantine.find(call.fields.sharedParts, context.clock())?.let {
@@ -81,8 +77,12 @@
         preparedTarget = null
         noTargetSince = null
         retryAt = null
-        val next = Attempt(target)
-        attempt = next
+        begin(target)
+    }
+
+    private fun begin(target: Target) {
+        val next = Attempt(call, target, targets, context, response, this)
+        attempts += next
         next.begin()
     }
 
@@ -91,7 +91,8 @@
 
     private fun discard(target: Target) = context.limits.onNotSent(target.upstream.id)
 
-    private fun excluded(): Set<InstanceId> = history.excludedUpstreams + unreachable
+    private fun excluded(): Set<InstanceId> =
+        history.excludedUpstreams + unreachable + attempts.map { it.target.upstream.id }
 
     /** Waits for free capacity while the response can still begin or continue in time, then refuses the request. */
     private fun onNoTarget() {
@@ -118,27 +119,57 @@
     private fun waitingBefore(): Int =
         context.inFlight.count { it !== this && it.noTargetSince != null && it.call.service.id == call.service.id }
 
-    private fun onNotConnected(ended: Attempt, detail: String) {
-        ended.release()
-        attempt = null
-        val upstream = ended.target.upstream.id
+    override fun onNotConnected(attempt: Attempt, detail: String) {
+        attempts -= attempt
+        val upstream = attempt.target.upstream.id
         context.traffic.onDetectedDown(upstream, context.clock())
         unreachable += upstream
         failedConnects++
-        log("not-connected", ended, "detail" to detail)
+        log("not-connected", attempt, "detail" to detail)
+        if (attempts.isNotEmpty()) return
         if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(refusals.busy(detail))
     }
 
-    private fun onFailed(ended: Attempt, end: SendEnd, detail: String) {
-        ended.release()
-        attempt = null
-        history.onEnd(end)
+    override fun onSending(attempt: Attempt) {
+        history.onSend(attempt.target.upstream.id)
+        if (history.sends == 1) context.quarantine.onSent(call.fields.sharedParts)
+        val prompt = call.fields.promptParts.joinToString("/")
+        log(if (history.sends == 1) "sent" else "sent-again", attempt, "prompt" to prompt)
+    }
+
+    /** Also sends a repeatable request to another upstream, if it is allowed to run there as well. */
+    override fun onSilent(attempt: Attempt, detail: String) {
+        if (attempts.size >= MAX_OPEN_ATTEMPTS || !history.mayRetryAfterRun()) return
+        val next = chooseAndAcquire() ?: return
+        log("send-silent", attempt, "detail" to detail, "silence" to attempt.silence(context.clock()))
+        begin(next)
+    }
+
+    override fun onRedirected(attempt: Attempt, next: Target, outcome: OrderOutcome) =
+        log("redirected", attempt, "to" to next, "outcome" to outcome)
+
+    /** Ends the other attempts, whose upstreams would send the same bytes once more. */
+    override fun onProgress(attempt: Attempt) {
+        if (attempts.size == 1) return
+        for (other in attempts.filter { it !== attempt }) {
+            attempts -= other
+            other.abort()
+            if (other.isSent) history.onEnd(other.target.upstream.id, SendEnd.SILENT)
+            context.meters.onSendEnd(SendEnd.SILENT.name)
+            log("send-replaced", other, "by" to attempt.target, "silence" to other.silence(context.clock()))
+        }
+    }
+
+    override fun onFailed(attempt: Attempt, end: SendEnd, detail: String) {
+        attempts -= attempt
+        history.onEnd(attempt.target.upstream.id, end)
         context.meters.onSendEnd(end.name)
-        log("send-failed", ended, "end" to end, "detail" to detail, "silence" to ended.silence(context.clock()))
+        log("send-failed", attempt, "end" to end, "detail" to detail, "silence" to attempt.silence(context.clock()))
+        if (attempts.isNotEmpty()) return
         val obstacle = retryObstacle() ?: return sendAgain()
         val retries = context.retries.usage(call.service.id, context.clock())
-        log("not-sent-again", ended, "reason" to obstacle, "retries" to retries.used, "allowed" to retries.allowed)
-        finish(refusals.failed(ended.target.upstream.id, end, detail))
+        log("not-sent-again", attempt, "reason" to obstacle, "retries" to retries.used, "allowed" to retries.allowed)
+        finish(refusals.failed(attempt.target.upstream.id, end, detail))
     }
 
     /** Starts another attempt. From the second refusal on, it is delayed by a pause that grows with each refusal. */
@@ -169,36 +200,53 @@
     private fun acquireRetry(): Boolean =
         context.retries.tryAcquire(call.service.id, context.clock(), response.hasBegun)
 
-    /**
-     * Chooses a target for a retry while the current send is still open, and acquires the retry from the budget.
-     * Returns false if no further run is allowed, no target is available or the budget is used up.
-     */
-    private fun prepareRetry(): Boolean {
-        if (!history.mayRetryAfterRun()) return false
-        val next = choose() ?: return false
-        if (!acquireRetry()) {
-            discard(next)
-            return false
-        }
-        preparedTarget = next
-        return true
+    /** A target for a retry that is acquired from the budget, or null if there is none or the budget is used up. */
+    private fun chooseAndAcquire(): Target? {
+        val next = choose() ?: return null
+        if (acquireRetry()) return next
+        discard(next)
+        return null
+    }
+
+    /** An error is no answer while another attempt may still give one, or if a lookup can be retried. */
+    override fun mayReplaceFailure(attempt: Attempt): Boolean {
+        if (attempts.size > 1) return true
+        if (call.route.kind != RouteKind.IDEMPOTENT || !history.mayRetryAfterRun()) return false
+        preparedTarget = chooseAndAcquire()
+        return preparedTarget != null
     }
 
     private fun onDeadline() {
-        val pending = attempt
-        val hadSent = pending?.isSent == true
-        pending?.abort()
-        attempt = null
-        if (hadSent) history.onEnd(SendEnd.SILENT)
-        finish(refusals.deadline(pending?.target?.upstream?.id))
+        val last = attempts.lastOrNull()
+        abortAll()
+        finish(refusals.deadline(last?.target?.upstream?.id))
     }
 
     private fun onDisconnected() {
-        val pending = attempt
-        attempt = null
-        pending?.abort()
+        val last = attempts.lastOrNull()
+        abortAll()
         val after = context.clock() - call.caller.receivedAt
-        log("caller-gone", pending, "after" to after, *response.timing.logFields())
+        log("caller-gone", last, "after" to after, *response.timing.logFields())
+        end()
+    }
+
+    private fun abortAll() {
+        attempts.forEach {
+            it.abort()
+            if (it.isSent) history.onEnd(it.target.upstream.id, SendEnd.SILENT)
+        }
+        attempts.clear()
+    }
+
+    override fun onComplete(attempt: Attempt) {
+        attempts -= attempt
+        history.onAnswered(attempt.target.upstream.id)
+        if (response.status == HttpResponseStatus.OK.code()) {
+            context.quarantine.onAnswered(call.fields.sharedParts, context.clock())
+        }
+        context.meters.onSendEnd("ANSWERED")
+        val took = context.clock() - call.caller.receivedAt
+        log("answered", attempt, "status" to response.status, "took" to took, *response.timing.logFields())
         end()
     }
 
@@ -224,142 +272,10 @@
         *more,
     )
 
-    /** One attempt to send the request to an upstream and relay its response. */
-    private inner class Attempt(target: Target) : ExchangeCallbacks {
-        private val exchange = UpstreamExchange(call, target, context, response, this)
-        private var isReleased = false
-
-        /** The next investigation starts no earlier than this; null before the first. */
-        private var investigateAt: Moment? = null
-        private var isRedirecting = false
-
-        /** Changes when the stream is redirected to another path. */
-        var target = target
-            private set
-
-        val isSent: Boolean get() = exchange.isSent
-
-        fun begin() {
-            context.traffic.onStart(target.upstream.id)
-            context.traffic.reserve(target.path, target.tokens)
-            val key = ConnectionKey(target.upstream.address, target.upstream.id)
-            val maxConnections = (call.service.maxConnections / context.share().entries).coerceAtLeast(1)
-            context.pool.lease(key, maxConnections, ::onLease)
-        }
-
-        fun isSilent(now: Moment): Boolean =
-            exchange.isSilent(now) && !isRedirecting && investigateAt?.let { now >= it } ?: true
-
-        fun streamActivity(now: Moment): StreamActivity? =
-            if (isRedirecting || target.path.isEmpty()) null else exchange.streamActivity(now)
-
-        /** Time since the upstream last sent anything. */
-        fun silence(now: Moment): Duration = exchange.silence(now)
-
-        fun setReading(isReading: Boolean) = exchange.setReading(isReading)
-
-        fun abort() {
-            exchange.abort()
-            release()
-        }
-
-        /** Removes this attempt from the upstream's load. */
-        fun release() {
-            if (isReleased) return
-            isReleased = true
-            if (!isSent) discard(target)
-            context.traffic.onEnd(target.upstream.id)
-            context.traffic.release(target.path, target.tokens)
-        }
-
-        /** Finds out which engines the silent response waits for, and retries elsewhere if that is allowed. */
-        fun investigate(now: Moment) {
-            investigateAt = now + INVESTIGATION_INTERVAL
-            if (target.path.isEmpty()) return onPlainUpstreamSilent(now)
-            context.stallSearch.run(target.upstream) {
-                val later = context.clock()
-                if (attempt === this && !isRedirecting && exchange.isSilentTooLong(later)) {
-                    failIfRepeatable("no event for ${exchange.silence(later)}")
-                }
-            }
-        }
-
-        /**
-         * Redirects the stream if its path contains [engine]. If [engine] is the first of the path, or there is no
-         * other path, the request has to be sent again.
-         */
-        fun onEngineDown(engine: InstanceId) {
-            if (isRedirecting || !isSent || engine !in target.upstreamIds) return
-            if (engine == target.upstream.id) return failIfRepeatable("engine $engine is down")
-            val request = call.fields.request
-            val next = if (request == null) null else targets.redirect(target)
-            if (request == null || next == null) return failIfRepeatable("no way around engine $engine")
-            isRedirecting = true
-            context.scope.launch { redirect(request, next) }
-        }
-
-        private suspend fun redirect(request: RequestId, next: Target) {
-            val outcome = context.engines.redirectStream(next.upstream, request, next.path)
-            log("redirected", this, "to" to next, "outcome" to outcome)
-            isRedirecting = false
-            if (attempt !== this) return
-            if (outcome != OrderOutcome.Accepted) return failIfRepeatable("the stream could not be redirected")
-            context.traffic.release(target.path, target.tokens)
-            target = next
-            context.traffic.reserve(target.path, target.tokens)
-            exchange.onRedirected()
-        }
-
-        private fun onPlainUpstreamSilent(now: Moment) {
-            context.traffic.onDetectedDown(target.upstream.id, now)
-            failIfRepeatable("no answer for ${exchange.silence(now)}")
-        }
-
-        /** Ends the attempt so that the request is sent elsewhere. Keeps waiting if a retry is not allowed. */
-        private fun failIfRepeatable(detail: String) {
-            if (call.route.isRepeatable && prepareRetry()) exchange.fail(SendEnd.SILENT, detail)
-        }
-
-        override fun onFailed(end: SendEnd, detail: String) {
-            if (end == SendEnd.BROKEN && exchange.hasJustBegun) {
-                context.crashWatch.onBroken(target.upstream, call.fields.promptParts)
-            }
-            onFailed(this, end, detail)
-        }
-
-        override fun mayReplaceFailure(): Boolean = call.route.kind == RouteKind.IDEMPOTENT && prepareRetry()
-
-        override fun onComplete() {
-            release()
-            attempt = null
-            history.onAnswered()
-            if (response.status == HttpResponseStatus.OK.code()) {
-                context.quarantine.onAnswered(call.fields.sharedParts, context.clock())
-            }
-            context.meters.onSendEnd("ANSWERED")
-            val took = context.clock() - call.caller.receivedAt
-            log("answered", this, "status" to response.status, "took" to took, *response.timing.logFields())
-            end()
-        }
-
-        private fun onLease(lease: Lease) {
-            val isCurrent = attempt === this
-            when (lease) {
-                is Lease.Failed -> if (isCurrent) onNotConnected(this, lease.detail)
-                is Lease.Ready -> if (isCurrent) send(lease) else context.pool.release(lease.connection)
-            }
-        }
-
-        private fun send(lease: Lease.Ready) {
-            history.onSend(target.upstream.id)
-            if (history.sends == 1) context.quarantine.onSent(call.fields.sharedParts)
-            val prompt = call.fields.promptParts.joinToString("/")
-            log(if (history.sends == 1) "sent" else "sent-again", this, "prompt" to prompt)
-            exchange.send(lease.connection)
-        }
-    }
-
     private companion object {
+        /** A silent one and its replacement. */
+        const val MAX_OPEN_ATTEMPTS = 2
+
         /** The request is refused after one more failed connection than this. */
         const val MAX_FAILED_CONNECTS = 3
 
@@ -374,9 +290,6 @@
         const val IMMEDIATE_REFUSALS = 2
         val REFUSAL_PAUSE = 100.milliseconds
 
-        /** Time between two investigations of a silent response. */
-        val INVESTIGATION_INTERVAL = 400.milliseconds
-
         /** The request is not sent again if less time than this is left. */
         val MIN_TIME_FOR_SEND = 50.milliseconds
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
@@ -25,7 +25,7 @@
     fun onEngineDown(engine: InstanceId) = requests.toList().forEach { it.onEngineDown(engine) }
 
     /** Activity of the open streams. */
-    fun streamActivities(now: Moment): List<StreamActivity> = requests.mapNotNull { it.streamActivity(now) }
+    fun streamActivities(now: Moment): List<StreamActivity> = requests.flatMap { it.streamActivities(now) }
 
     /** Lets each request check its deadlines. */
     fun tick(now: Moment) = requests.toList().forEach { it.onTick(now) }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -66,6 +66,10 @@
     private var firstEventAt: Moment? = null
     private var isWellUnderWay = false
 
+    /** True if the upstream has sent an event since the request was sent or redirected. */
+    var isProducing = false
+        private set
+
     /** True once bytes of the request may have been sent. */
     val isSent: Boolean get() = connection != null
 
@@ -94,6 +98,7 @@
     /** Restarts the measurement of silence, since a redirected stream needs time to continue. */
     fun onRedirected() {
         lastActivity = context.clock()
+        isProducing = false
     }
 
     /** Stops or resumes reading the response, for a caller that receives more slowly than the upstream sends. */
@@ -183,14 +188,24 @@
     private fun onStreamBytes(bytes: ByteBuf) {
         splitter.add(bytes) { event ->
             lastActivity = context.clock()
-            headers?.let { response.begin(status, it) }
-            response.sendEvent(event)
+            isProducing = true
+            sendEvent(event)
             checkProgress()
         }
         if (splitter.isOverlong) return fail(SendEnd.GARBLED, "the stream contains bytes that are no event")
         if (!response.isWritable) connection?.setReading(false)
     }
 
+    private fun sendEvent(event: StreamEvent) {
+        if (response.hasSent(event)) {
+            event.bytes.release()
+            return
+        }
+        callbacks.onProgress()
+        headers?.let { response.begin(status, it) }
+        response.sendEvent(event)
+    }
+
     private fun checkProgress() {
         val firstAt = firstEventAt ?: lastActivity.also { firstEventAt = it }
         if (isWellUnderWay || lastActivity - firstAt < CRASH_DELAY) return
@@ -210,6 +225,7 @@
         body.writeBytes(bytes)
         if (body.readableBytes() <= MAX_BUFFERED_BYTES) return
         mode = Mode.RELAYING
+        callbacks.onProgress()
         headers?.let { response.begin(status, it) }
         response.sendBytes(body.copy())
     }
@@ -233,6 +249,7 @@
     private fun complete(hasFailed: Boolean = false, deliver: () -> Unit) {
         context.traffic.onAnswer(target.upstream.id, hasFailed, context.clock())
         context.traffic.onProcessed(target.upstreamIds)
+        callbacks.onProgress()
         deliver()
         callbacks.onComplete()
     }
