Leave a stream at an engine that is reported as down while its events go on

Cause: an entry took the report of another one, which may be wrong or late, for more than what its own streams showed: it redirected every stream whose path contained the engine, or sent it again.

Change: only a stream that has been silent for longer than the interval of two events gives up its path. One that falls silent later does so while the engine is presumed to be down. Reports still keep new requests away from the engine.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -94,15 +94,22 @@
     /** Finds out why the attempt is silent if it has been for too long. */
     fun onTick(now: Moment) {
         if (isRedirecting || !isSent || investigateAt?.let { now < it } ?: false) return
-        if (exchange.isSilent(now)) investigate(now)
+        val downEngine = if (isIdle(now)) target.upstreamIds.firstOrNull { isPresumedDown(it, now) } else null
+        when {
+            downEngine != null && target.path.isNotEmpty() -> {
+                investigateAt = now + INVESTIGATION_INTERVAL
+                onEngineDown(downEngine, now)
+            }
+            exchange.isSilent(now) -> investigate(now)
+        }
     }
 
     /**
-     * Redirects the stream if its path contains [engine]. If [engine] is the first of the path, or there is no
-     * other path, the request has to be sent again.
+     * Redirects the stream if its path contains [engine] and it has stopped: a stream that goes on shows that the engine
+     * is up. If [engine] is the first of the path, or there is no other path, the request has to be sent again.
      */
-    fun onEngineDown(engine: InstanceId) {
-        if (isRedirecting || !isSent || engine !in target.upstreamIds) return
+    fun onEngineDown(engine: InstanceId, now: Moment) {
+        if (isRedirecting || !isSent || engine !in target.upstreamIds || !isIdle(now)) return
         if (engine == target.upstream.id) return listener.onSilent(this, "engine $engine is down")
         val request = call.fields.request
         val next = if (request == null) null else targets.redirect(target)
@@ -128,6 +135,10 @@
         listener.onComplete(this)
     }
 
+    private fun isIdle(now: Moment): Boolean = exchange.silence(now) > MAX_EVENT_INTERVAL
+
+    private fun isPresumedDown(engine: InstanceId, now: Moment): Boolean = context.traffic[engine].isPresumedDown(now)
+
     /** Removes this attempt from the upstream's load. */
     private fun release() {
         if (isEnded) return
@@ -186,5 +197,8 @@
     private companion object {
         /** Time between two investigations of a silent response. */
         val INVESTIGATION_INTERVAL = 400.milliseconds
+
+        /** The events of a stream follow each other more closely than this unless it has stopped. */
+        val MAX_EVENT_INTERVAL = 80.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -66,8 +66,11 @@
     fun streamActivities(now: Moment): List<StreamActivity> =
         if (response.hasBegun) attempts.mapNotNull { it.streamActivity(now) } else emptyList()
 
-    /** Redirects the stream around [engine], which is down, if its path contains it. */
-    fun onEngineDown(engine: InstanceId) = attempts.toList().forEach { it.onEngineDown(engine) }
+    /** Redirects the stream around [engine], which is presumed to be down, if it passes the engine and has stopped. */
+    fun onEngineDown(engine: InstanceId) {
+        val now = context.clock()
+        attempts.toList().forEach { it.onEngineDown(engine, now) }
+    }
 
     private fun sendNext() {
         context.quarantine.find(call.fields.sharedParts, context.clock())?.let {
--- /dev/null
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -0,0 +1,198 @@
+package io.mimosatrail.gateway.forward
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.mimosatrail.core.balance.PeerLoads
+import io.mimosatrail.core.balance.UpstreamTraffic
+import io.mimosatrail.core.front.FrontService
+import io.mimosatrail.core.front.HostRoute
+import io.mimosatrail.core.front.RouteKind
+import io.mimosatrail.core.front.WeightedService
+import io.mimosatrail.core.id.AcceleratorKind
+import io.mimosatrail.core.id.InstanceId
+import io.mimosatrail.core.id.PlaceId
+import io.mimosatrail.core.id.RequestId
+import io.mimosatrail.core.net.PeerAddress
+import io.mimosatrail.core.placement.AcceleratorProfile
+import io.mimosatrail.core.placement.EngineProfile
+import io.mimosatrail.core.quarantine.PromptQuarantine
+import io.mimosatrail.core.registry.UpstreamRegistry
+import io.mimosatrail.core.retry.RetryBudgets
+import io.mimosatrail.core.time.systemClock
+import io.mimosatrail.gateway.follow.RegisteredEntries
+import io.mimosatrail.gateway.front.Caller
+import io.mimosatrail.gateway.front.ResponseWriter
+import io.mimosatrail.gateway.gossip.UpstreamObservations
+import io.mimosatrail.gateway.net.ConnectionPool
+import io.mimosatrail.gateway.wire.EngineReport
+import io.mimosatrail.gateway.wire.HeaderCodec
+import io.mimosatrail.gateway.wire.RequestFields
+import io.mimosatrail.gateway.wire.ResponseFields
+import io.mimosatrail.gateway.wire.UpstreamRequestFields
+import io.netty.buffer.ByteBuf
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val LAYERS = 80
+private const val TICK_MILLIS = 20L
+
+/** A caller's response as text. All fields are written on the event loop. */
+internal class RecordedResponse : ResponseWriter {
+    private val text = StringBuffer()
+    val body: String get() = text.toString()
+
+    @Volatile
+    var status = 0
+        private set
+
+    @Volatile
+    var isComplete = false
+        private set
+
+    @Volatile
+    var isCut = false
+        private set
+
+    override val isWritable = true
+
+    override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
+        begin(status, headers)
+        write(body)
+        finish()
+    }
+
+    override fun begin(status: HttpResponseStatus, headers: HttpHeaders) {
+        this.status = status.code()
+    }
+
+    override fun write(bytes: ByteBuf) {
+        text.append(bytes.toString(Charsets.UTF_8))
+        bytes.release()
+    }
+
+    override fun finish() {
+        isComplete = true
+    }
+
+    override fun cut() {
+        isCut = true
+    }
+}
+
+/** Headers without a meaning, but for a refusal, which has the header `not-run`. */
+private object PlainHeaders : HeaderCodec {
+    override fun readRequest(headers: HttpHeaders) = RequestFields(RequestId("r"), null, null, null, null, null, null)
+
+    override fun writeUpstreamRequest(headers: HttpHeaders, fields: UpstreamRequestFields) = Unit
+
+    override fun readResponse(headers: HttpHeaders) =
+        ResponseFields(null, isSealed = true, hasNotRun = headers.contains("not-run"), null, null)
+}
+
+/** Forwards resumable streams to the engines at [addresses], each of which holds all layers of the model. */
+internal class ForwardFixture(addresses: List<PeerAddress>, retrySlack: Double = 100.0) : AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val registry = UpstreamRegistry()
+    private val traffic = UpstreamTraffic()
+    private val entries = RegisteredEntries(1, emptySet(), emptyList())
+    private val records = addresses.mapIndexed { index, address -> engineRecord("e$index").copy(address = address) }
+    private val inFlight = InFlightTable()
+    private val context = ForwardContext(
+        clock = systemClock,
+        place = PlaceId("umea"),
+        headers = PlainHeaders,
+        pool = ConnectionPool(loop, systemClock),
+        upstreams = UpstreamState(
+            registry,
+            traffic,
+            PeerLoads(),
+            UpstreamObservations(registry, traffic, systemClock),
+            PromptQuarantine(),
+            UpstreamLimits(InstanceId("self"), { entries }, systemClock),
+        ),
+        retries = RetryBudgets(0.0, retrySlack, 10.seconds) { 1 },
+        engines = FakeEngines { EngineReport(null, false, 0, 1.0, emptyList()) },
+        share = { entries },
+        inFlight = inFlight,
+        meters = ForwardMeters(SimpleMeterRegistry()),
+        scope = scope,
+    )
+
+    init {
+        onLoop { registry.onListing(records, systemClock()) }
+        loop.scheduleAtFixedRate({ inFlight.tick(systemClock()) }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Forwards a request for a stream. */
+    fun stream(): RecordedResponse {
+        val response = RecordedResponse()
+        onLoop {
+            val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/stream/x")
+            val caller = Caller(request, systemClock(), response)
+            val fields = PlainHeaders.readRequest(request.headers())
+            val call = RoutedCall(caller, fields, streamRoute, null, service, 1)
+            ForwardedRequest(call, PathTargetChooser(call, profile, context), context).start()
+        }
+        return response
+    }
+
+    /** Receives the report of another entry that the engine number [index] is down. */
+    fun onReportedDown(index: Int) = onLoop {
+        traffic.onReportedDown(records[index].id, systemClock())
+        inFlight.onEngineDown(records[index].id)
+    }
+
+    override fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private fun onLoop(action: () -> Unit) {
+        loop.submit(action).get()
+    }
+
+    private companion object {
+        val profile = EngineProfile(
+            layers = LAYERS,
+            layerMegabytes = 100.0,
+            kvMegabytesPerLayer = 0.001,
+            step = 1.milliseconds,
+            stepPerSequence = 0.milliseconds,
+            stepPerThousandTokens = 0.milliseconds,
+            promptTokensPerSecond = 100_000.0,
+            slots = 10,
+            activationBytes = 10,
+            crossPlaceBytesPerSecond = 1e9,
+            usualPromptTokens = 10,
+            usualOutputTokens = 10,
+            fullLoadTime = 1.seconds,
+            kinds = mapOf(AcceleratorKind("l4") to AcceleratorProfile(20_000.0, 1.0, 1.0)),
+        )
+        val service = FrontService(engineRecord("any").service, 40, "/health", profile)
+        val streamRoute = HostRoute(
+            name = "stream",
+            host = "h",
+            prefix = "/stream/",
+            kind = RouteKind.STREAMING,
+            split = listOf(WeightedService(service.id, 1.0)),
+            timeout = 20.seconds,
+            target = 600.milliseconds,
+            gapTarget = 300.milliseconds,
+            maxUpstreams = 2,
+            priority = 0,
+            isResumable = true,
+        )
+    }
+}
