Let a begun stream wait for the retry budget instead of cutting it

Cause: every entry gets an equal share of the slack and hands out half of it, of which refusable requests leave a quarter. With 23 entries that is one retry in ten seconds for streams, while one lost engine breaks up to ten of one entry. The request was ended at the first denial.

Change: a stream without an open send, which would be cut, may use three quarters of its entry's share instead of one half, and if that is used up too it waits for the window to move, as it does for a free engine. All entries together use at most half of the ratio and three quarters of the slack; the rest is kept for entries that restart or can't see each other.

--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
@@ -7,8 +7,8 @@
 /**
  * Retry budgets of this entry, one for each service. In any [window], all entries together may retry at most [ratio] of
  * a service's requests plus [slack]. Every entry gets an equal share of the slack, according to the number of [entries]
- * that it sees. Only half of the budget is handed out, so that the bound also holds while entries restart, join or
- * can't see each other. Not thread-safe.
+ * that it sees. Normally only half of the budget is handed out, so that the bound also holds while entries restart, join
+ * or can't see each other. Retries of [RetryPriority.LAST_RESORT] may use a half more of the slack. Not thread-safe.
  */
 class RetryBudgets(
     private val ratio: Double,
@@ -25,10 +25,15 @@
 
     /**
      * Takes one retry from the budget of [service], or returns false if none is left. A part of the budget is reserved
-     * for answers that have begun ([hasBegun]): without a retry they are cut, while others can be refused.
+     * for [RetryPriority.LAST_RESORT].
      */
-    fun tryAcquire(service: ServiceId, now: Moment, hasBegun: Boolean = true): Boolean =
-        budget(service, now).tryAcquire(now, if (hasBegun) 0.0 else RESERVED_FRACTION)
+    fun tryAcquire(service: ServiceId, now: Moment, priority: RetryPriority): Boolean {
+        val budget = budget(service, now)
+        return when (priority) {
+            RetryPriority.NORMAL -> budget.tryAcquire(now, reserved = RESERVED_FRACTION)
+            RetryPriority.LAST_RESORT -> budget.tryAcquire(now, extraSlack = budget.slack * LAST_RESORT_EXTRA)
+        }
+    }
 
     /** Retries of [service] in the current window and how many of them this entry may make. */
     fun usage(service: ServiceId, now: Moment): RetryUsage = budget(service, now).usage(now)
@@ -52,6 +57,7 @@
     private companion object {
         const val USED_FRACTION = 0.5
         const val RESERVED_FRACTION = 0.25
+        const val LAST_RESORT_EXTRA = 0.5
 
         /** An entry that is no longer visible may still run without the store and use its previous share. */
         const val WINDOWS_BEFORE_FALL = 2
--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryWindow.kt
@@ -23,10 +23,13 @@
         firstAttempts[index(current)]++
     }
 
-    /** Takes one retry from the budget, or returns false if none is left beyond the part [reserved] of it, 0 to 1. */
-    fun tryAcquire(now: Moment, reserved: Double = 0.0): Boolean {
+    /**
+     * Takes one retry from the budget, to which [extraSlack] is added for this call, or returns false if none is left
+     * beyond the part [reserved] of it, 0 to 1.
+     */
+    fun tryAcquire(now: Moment, reserved: Double = 0.0, extraSlack: Double = 0.0): Boolean {
         advance(now)
-        if (retries.sum() + 1 > allowed() * (1 - reserved)) return false
+        if (retries.sum() + 1 > (allowed() + extraSlack) * (1 - reserved)) return false
         retries[index(current)]++
         return true
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -3,6 +3,7 @@
 import io.mimosatrail.core.front.RouteKind
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.outcome.Refusal
+import io.mimosatrail.core.retry.RetryPriority
 import io.mimosatrail.core.send.SendEnd
 import io.mimosatrail.core.send.SendHistory
 import io.mimosatrail.core.stall.StreamActivity
@@ -42,6 +43,9 @@
     private var retryAt: Moment? = null
     private val unreachable = HashSet<InstanceId>()
 
+    /** How a begun stream ends if the retry budget, which is used up, leaves no retry in time; null if it is not waiting. */
+    private var pendingFailure: PendingFailure? = null
+
     /** Target of the next attempt if it was chosen, and its retry acquired, before the current attempt ended. */
     private var preparedTarget: Target? = null
 
@@ -59,6 +63,7 @@
         if (isFinished) return
         if (now >= call.deadline) return onDeadline()
         if (attempts.isNotEmpty()) return attempts.toList().forEach { it.onTick(now) }
+        pendingFailure?.let { return onBudgetWait(it, now) }
         if (retryAt?.let { now >= it } ?: true) sendNext()
     }
 
@@ -172,7 +177,22 @@
         val obstacle = retryObstacle() ?: return sendAgain()
         val retries = context.retries.usage(call.service.id, context.clock())
         log("not-sent-again", attempt, "reason" to obstacle, "retries" to retries.used, "allowed" to retries.allowed)
-        finish(refusals.failed(attempt.target.upstream.id, end, detail))
+        val refusal = refusals.failed(attempt.target.upstream.id, end, detail)
+        if (obstacle == RetryObstacle.BUDGET && response.hasBegun) {
+            pendingFailure = PendingFailure(refusal, context.clock())
+        } else {
+            finish(refusal)
+        }
+    }
+
+    /** Sends the stream again as soon as the budget allows it, or ends it if the caller would not wait any longer. */
+    private fun onBudgetWait(failure: PendingFailure, now: Moment) {
+        if (acquireRetry()) {
+            pendingFailure = null
+            sendAgain()
+        } else if (now - failure.since >= MAX_STREAM_PAUSE) {
+            finish(failure.refusal)
+        }
     }
 
     /** Starts another attempt. From the second refusal on, it is delayed by a pause that grows with each refusal. */
@@ -200,8 +220,11 @@
     private fun isPromptSuspected(now: Moment): Boolean =
         !history.hasNotRun && context.quarantine.isSuspect(call.fields.sharedParts, now)
 
-    private fun acquireRetry(): Boolean =
-        context.retries.tryAcquire(call.service.id, context.clock(), response.hasBegun)
+    private fun acquireRetry(): Boolean {
+        val isLastResort = response.hasBegun && attempts.isEmpty()
+        val priority = if (isLastResort) RetryPriority.LAST_RESORT else RetryPriority.NORMAL
+        return context.retries.tryAcquire(call.service.id, context.clock(), priority)
+    }
 
     /** A target for a retry that is acquired from the budget, or null if there is none or the budget is used up. */
     private fun chooseAndAcquire(): Target? {
@@ -275,6 +298,8 @@
         *more,
     )
 
+    private class PendingFailure(val refusal: Refusal, val since: Moment)
+
     private companion object {
         /** A silent one and its replacement. */
         const val MAX_OPEN_ATTEMPTS = 2
