Let nothing but its own events into a stream that has begun

What callers saw: an engine broke off in the middle of a stream, the next one answered the resumed request with an error. A large error (more than 512 KB) of any status went into the stream as bytes and the stream ended as complete; so did a 204 without events, a 206, and the paragraphs of a 200 that was no event stream. A short 404 on a kept connection was worse: its head was refused by the encoder, but the front took the request for answered and served the next one on the connection, whose events then came inside the first stream.

Cause: UpstreamExchange looked only at the status of an answer, and at whether the response had begun only for a 5xx at its very end. The encoder was all that kept a second head out.

The use of an answer is now decided once, at its head: if the response has begun, a sealed success of the same status, type and encoding continues the stream, another success ends the send as garbled, and any other answer is dropped and the send counts as failed. CallerResponse throws on a second head, on bytes within a stream and on an event outside one.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
@@ -4,11 +4,33 @@
 import io.mimosatrail.gateway.log.logEvent
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 
-/** The response to one caller, assembled from the responses of one or more upstreams. */
+/**
+ * The response to one caller: that of one upstream, or a stream that is assembled from the responses of several.
+ *
+ * A response has one head, and a stream contains nothing but events; calls that break this throw an
+ * [IllegalStateException].
+ */
 internal class CallerResponse(private val call: RoutedCall, private val context: ForwardContext) {
+    private enum class Body {
+        /** Nothing has been sent. */
+        NONE,
+
+        /** The body is that of one upstream. */
+        BYTES,
+
+        /** The body consists of events, which several upstreams may send. */
+        EVENTS,
+    }
+
+    private var body = Body.NONE
+
+    /** Type and encoding of a stream, which those of each response that continues it must match. */
+    private var streamFormat: StreamFormat? = null
+
     /** Status that was sent to the caller; 0 before. */
     var status = 0
         private set
@@ -24,21 +46,33 @@
 
     val isWritable: Boolean get() = call.caller.isWritable
 
+    /** True if events of a sealed response with [status] and [headers] may follow those that the caller has. */
+    fun canContinueWith(status: HttpResponseStatus, headers: HttpHeaders): Boolean =
+        body == Body.EVENTS && status.code() == this.status && StreamFormat.of(headers) == streamFormat
+
     /** Sends the complete response of an upstream. */
     fun sendWhole(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
-        recordHead(status)
+        recordHead(status, Body.BYTES)
         call.caller.respond(status, headers.withoutConnectionFields(), body)
     }
 
-    /** Sends the head of a streamed response. Does nothing if a stream continues from another upstream. */
-    fun begin(status: HttpResponseStatus, headers: HttpHeaders) {
-        if (hasBegun) return
-        recordHead(status)
+    /** Sends the head of a response whose body follows in parts. */
+    fun beginBytes(status: HttpResponseStatus, headers: HttpHeaders) {
+        recordHead(status, Body.BYTES)
+        call.caller.begin(status, headers.withoutConnectionFields())
+    }
+
+    /** Sends the head of a stream. Does nothing if a stream continues from another upstream. */
+    fun beginEvents(status: HttpResponseStatus, headers: HttpHeaders) {
+        if (body == Body.EVENTS) return
+        recordHead(status, Body.EVENTS)
+        streamFormat = StreamFormat.of(headers)
         call.caller.begin(status, headers.withoutConnectionFields())
     }
 
     /** Passes [event] to the caller, or drops it if the caller already has it. Takes ownership of its bytes. */
     fun sendEvent(event: StreamEvent) {
+        check(body == Body.EVENTS) { "an event without a stream" }
         val last = lastEventId
         if (event.id != null && last != null && event.id <= last) {
             event.bytes.release()
@@ -50,14 +84,17 @@
     }
 
     /** Passes [bytes] to the caller unchanged. Takes ownership of them. */
-    fun sendBytes(bytes: ByteBuf) = call.caller.write(bytes)
+    fun sendBytes(bytes: ByteBuf) {
+        check(body == Body.BYTES) { "bytes of another response within a stream" }
+        call.caller.write(bytes)
+    }
 
     /** Completes a streamed response. */
     fun finish() = call.caller.finish()
 
     /** Responds with [refusal]. */
     fun refuse(refusal: Refusal) {
-        recordHead(statusOf(refusal))
+        recordHead(statusOf(refusal), Body.BYTES)
         log("refused", refusal)
         call.caller.respond(statusOf(refusal), headersOf(refusal), bodyOf(refusal))
     }
@@ -69,7 +106,9 @@
         call.caller.cut()
     }
 
-    private fun recordHead(status: HttpResponseStatus) {
+    private fun recordHead(status: HttpResponseStatus, body: Body) {
+        check(!hasBegun) { "a second head, of status ${status.code()}, within a response" }
+        this.body = body
         this.status = status.code()
         context.meters.onResponse(call.route.kind.name, status.code())
         context.meters.onFirstByte(context.clock() - call.caller.receivedAt)
@@ -99,6 +138,16 @@
     }
 }
 
+/** How the body of a stream is to be read. */
+private data class StreamFormat(val mediaType: String?, val encoding: String?) {
+    companion object {
+        fun of(headers: HttpHeaders) = StreamFormat(
+            headers[HttpHeaderNames.CONTENT_TYPE]?.substringBefore(';')?.trim()?.lowercase(),
+            headers[HttpHeaderNames.CONTENT_ENCODING]?.trim()?.lowercase(),
+        )
+    }
+}
+
 private fun HttpHeaders.withoutConnectionFields(): HttpHeaders = DefaultHttpHeaders(false).also { copy ->
     forEach { (name, value) -> if (!isConnectionField(name)) copy.add(name, value) }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -38,7 +38,7 @@
         /** No response head has been received. */
         WAITING,
 
-        /** The upstream refused the request, and the body is dropped. */
+        /** The answer is of no use for the response, and its body is dropped. */
         DISCARDING,
 
         /** The body is collected. */
@@ -56,8 +56,8 @@
     private var status = HttpResponseStatus.OK
     private var headers: HttpHeaders? = null
 
-    /** How the send ends if the upstream refused the request. */
-    private var refusalEnd = SendEnd.REJECTED
+    /** How the send ends if the answer is discarded. */
+    private var discardEnd = SendEnd.REJECTED
     private var discardedBytes = 0
     private val body = Unpooled.buffer(INITIAL_BODY_BYTES)
     private val splitter = EventSplitter()
@@ -123,12 +123,23 @@
         context.limits.onAnswer(target.upstream.id, fields.announcedRate, sentAt)
         fields.load?.let { context.traffic.onLoadReport(target.upstream.id, it.running + it.waiting, lastActivity) }
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST || fields.hasNotRun) return onRefused(fields)
-        mode = when {
-            !isSuccess() -> Mode.BUFFERING
-            !fields.isSealed -> return fail(SendEnd.GARBLED, "the answer has no seal")
-            call.route.kind == RouteKind.STREAMING -> Mode.STREAMING
-            else -> Mode.BUFFERING
+        if (isSuccess() && !fields.isSealed) return fail(SendEnd.GARBLED, "the answer has no seal")
+        if (response.hasBegun) return onContinuation(head)
+        mode = if (isSuccess() && call.route.kind == RouteKind.STREAMING) Mode.STREAMING else Mode.BUFFERING
+    }
+
+    /** Decides whether the answer continues the response, which has begun. No other may add anything to it. */
+    private fun onContinuation(head: HttpResponse) {
+        if (isSuccess()) {
+            if (!response.canContinueWith(status, head.headers())) {
+                return fail(SendEnd.GARBLED, "an answer of status ${status.code()} that doesn't continue the response")
+            }
+            mode = Mode.STREAMING
+            return
         }
+        mode = Mode.DISCARDING
+        discardEnd = SendEnd.FAILED
+        if (isServerError()) recordFailure()
     }
 
     override fun onBody(part: ByteBuf) {
@@ -147,7 +158,7 @@
             Mode.STREAMING -> finishStream()
             Mode.RELAYING -> complete { response.finish() }
             Mode.BUFFERING -> finishBuffer()
-            Mode.DISCARDING -> callbacks.onFailed(refusalEnd, "the upstream answered ${status.code()}, not run")
+            Mode.DISCARDING -> callbacks.onFailed(discardEnd, discardDetail())
             Mode.WAITING -> callbacks.onFailed(SendEnd.GARBLED, "the answer has no head")
         }
     }
@@ -160,10 +171,10 @@
 
     private fun onRefused(fields: ResponseFields) {
         mode = Mode.DISCARDING
-        refusalEnd = if (status == HttpResponseStatus.MISDIRECTED_REQUEST) SendEnd.MISDIRECTED else SendEnd.REJECTED
+        discardEnd = if (status == HttpResponseStatus.MISDIRECTED_REQUEST) SendEnd.MISDIRECTED else SendEnd.REJECTED
         val segment = fields.refusingEngine?.let { address -> target.path.firstOrNull { it.engine.address == address } }
         val refusing = segment?.engine?.id ?: target.upstream.id
-        context.refusalWatch.onRefused(refusing, call.service, refusalEnd)
+        context.refusalWatch.onRefused(refusing, call.service, discardEnd)
         logProblem(
             "forward",
             "upstream-refused",
@@ -174,16 +185,19 @@
         )
     }
 
-    /** Counts what is dropped of a refusal, since the request is sent elsewhere only once the refusal has ended. */
+    private fun discardDetail(): String =
+        "the upstream answered ${status.code()}" + if (discardEnd.hasNotRun) ", not run" else ""
+
+    /** Counts what is dropped of an answer, since the request is sent elsewhere only once the answer has ended. */
     private fun discard(bytes: ByteBuf) {
         discardedBytes += bytes.readableBytes()
-        if (discardedBytes > MAX_DISCARDED_BYTES) fail(refusalEnd, "the upstream answered ${status.code()}, not run")
+        if (discardedBytes > MAX_DISCARDED_BYTES) fail(discardEnd, discardDetail())
     }
 
     private fun onStreamBytes(bytes: ByteBuf) {
         splitter.add(bytes) { event ->
             lastActivity = context.clock()
-            headers?.let { response.begin(status, it) }
+            headers?.let { response.beginEvents(status, it) }
             response.sendEvent(event)
             checkProgress()
         }
@@ -201,7 +215,7 @@
     private fun finishStream() {
         if (splitter.hasIncompleteEvent) return callbacks.onFailed(SendEnd.BROKEN, "the stream ended within an event")
         complete {
-            headers?.let { response.begin(status, it) }
+            headers?.let { response.beginEvents(status, it) }
             response.finish()
         }
     }
@@ -210,7 +224,7 @@
         body.writeBytes(bytes)
         if (body.readableBytes() <= MAX_BUFFERED_BYTES) return
         mode = Mode.RELAYING
-        headers?.let { response.begin(status, it) }
+        headers?.let { response.beginBytes(status, it) }
         response.sendBytes(body.copy())
     }
 
@@ -220,16 +234,20 @@
     }
 
     private fun finishBuffer() {
-        val hasFailed = status.codeClass() == HttpStatusClass.SERVER_ERROR
-        if (hasFailed && (response.hasBegun || callbacks.mayReplaceFailure())) {
-            val now = context.clock()
-            context.traffic.onAnswer(target.upstream.id, hasFailed = true, now)
-            context.traffic.onSendFailed(target.upstream.id, sentAt, now)
+        val hasFailed = isServerError()
+        if (hasFailed && callbacks.mayReplaceFailure()) {
+            recordFailure()
             return callbacks.onFailed(SendEnd.FAILED, "the upstream answered ${status.code()}")
         }
         complete(hasFailed) { headers?.let { response.sendWhole(status, it, body) } }
     }
 
+    private fun recordFailure() {
+        val now = context.clock()
+        context.traffic.onAnswer(target.upstream.id, hasFailed = true, now)
+        context.traffic.onSendFailed(target.upstream.id, sentAt, now)
+    }
+
     private fun complete(hasFailed: Boolean = false, deliver: () -> Unit) {
         context.traffic.onAnswer(target.upstream.id, hasFailed, context.clock())
         context.traffic.onProcessed(target.upstreamIds)
@@ -239,6 +257,8 @@
 
     private fun isSuccess(): Boolean = status.codeClass() == HttpStatusClass.SUCCESS
 
+    private fun isServerError(): Boolean = status.codeClass() == HttpStatusClass.SERVER_ERROR
+
     private fun silenceLimit(): Duration = when {
         call.route.kind != RouteKind.STREAMING -> maxOf(call.route.target * SILENCE_FACTOR, MIN_SILENCE_LIMIT)
         response.hasBegun -> EVENT_SILENCE_LIMIT
@@ -278,7 +298,7 @@
         /** A larger response is relayed before it is complete; a retry cannot replace it any more then. */
         const val MAX_BUFFERED_BYTES = 512 * 1024
 
-        /** Longest refusal after which the connection is kept. */
+        /** Longest discarded answer after which the connection is kept. */
         const val MAX_DISCARDED_BYTES = 64 * 1024
 
         /** In multiples of the route's latency objective: a later response is assumed to be lost, not just slow. */
