Continue only a stream, not an error that broke off

What callers saw: on a route whose streams may be resumed, an engine answered with a large error, which is relayed from 512 KB on, and broke off; the events of the next engine then followed inside the response of status 500, which ended as complete.

Cause: whether a request may be sent again after its response has begun was asked of the route alone, not of what the response is.

CallerResponse now says whether another upstream may continue it, and only a response that began as a stream may be.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
@@ -46,6 +46,9 @@
 
     val isWritable: Boolean get() = call.caller.isWritable
 
+    /** True if another upstream may continue this response, which has begun. */
+    val mayBeContinued: Boolean get() = call.route.isResumable && body == Body.EVENTS
+
     /** True if events of a sealed response with [status] and [headers] may follow those that the caller has. */
     fun canContinueWith(status: HttpResponseStatus, headers: HttpHeaders): Boolean =
         body == Body.EVENTS && status.code() == this.status && StreamFormat.of(headers) == streamFormat
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -155,7 +155,7 @@
         return when {
             !history.maySendAgain() -> RetryObstacle.SENDS
             now + MIN_TIME_FOR_SEND >= call.deadline -> RetryObstacle.DEADLINE
-            response.hasBegun && !call.route.isResumable -> RetryObstacle.NOT_RESUMABLE
+            response.hasBegun && !response.mayBeContinued -> RetryObstacle.NOT_RESUMABLE
             isPromptSuspected(now) -> RetryObstacle.SUSPECTED_PROMPT
             preparedTarget == null && !acquireRetry() -> RetryObstacle.BUDGET
             else -> null
