Wait for a begun answer that nothing could replace

What callers saw: a large answer of an idempotent route was cut in its middle when the upstream paused for longer than three times the latency objective, though the upstream went on later.

Cause: a silent send is ended as soon as a retry is prepared for it, also when its response has begun; the retry is then refused as not resumable, the caller cut, and the retry's share of the budget lost.

Evidence: PausedAnswerTest failed on the old code; the caller had 600,017 bytes of the body, and the response was not complete.

A send whose response has begun is now ended for silence only if another upstream may continue that response.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -313,6 +313,7 @@
 
         /** Ends the attempt so that the request is sent elsewhere. Keeps waiting if a retry is not allowed. */
         private fun failIfRepeatable(detail: String) {
+            if (response.hasBegun && !response.mayBeContinued) return
             if (call.route.isRepeatable && prepareRetry()) exchange.fail(SendEnd.SILENT, detail)
         }
 
