Don't resume a stream where no id says where to go on

What callers saw: an engine sent events without ids and broke off; the request was resumed without Last-Event-Id, and the whole stream of the next engine followed the first events. Or the stream was resumed after event 2, and the next engine's events had no ids; they were passed on, though they may have been any events, and the stream ended as complete.

Cause: the id of the last event was kept from an earlier event when an event had none, and an event without an id was never taken for a repeated one.

A response is now continued only if its last event had an id, and the events of a continuation only from the first one whose id the caller lacks. Later ones may be without an id, and comments, which have no data, count neither way.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
@@ -39,6 +39,9 @@
     var lastEventId: Long? = call.fields.lastEventId
         private set
 
+    /** False if the last event that was sent had no id, so that no upstream can be asked for those after it. */
+    private var hasLastEventId = true
+
     val timing = StreamTiming(call.caller.receivedAt)
 
     /** True once a response head has been sent to the caller. */
@@ -47,7 +50,7 @@
     val isWritable: Boolean get() = call.caller.isWritable
 
     /** True if another upstream may continue this response, which has begun. */
-    val mayBeContinued: Boolean get() = call.route.isResumable && body == Body.EVENTS
+    val mayBeContinued: Boolean get() = call.route.isResumable && body == Body.EVENTS && hasLastEventId
 
     /** True if events of a sealed response with [status] and [headers] may follow those that the caller has. */
     fun canContinueWith(status: HttpResponseStatus, headers: HttpHeaders): Boolean =
@@ -82,6 +85,7 @@
             return
         }
         lastEventId = event.id ?: last
+        if (event.hasData) hasLastEventId = event.id != null
         timing.onEvent(context.clock())
         call.caller.write(event.bytes)
     }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/EventSplitter.kt
@@ -3,8 +3,11 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 
-/** One complete server-sent event. [id] is null if the event has no id or one that is not a number. */
-internal class StreamEvent(val id: Long?, val bytes: ByteBuf)
+/**
+ * One complete server-sent event. [id] is null if the event has no id or one that is not a number. [hasData] is false
+ * for a comment, which callers skip.
+ */
+internal class StreamEvent(val id: Long?, val hasData: Boolean, val bytes: ByteBuf)
 
 /** Splits a stream of server-sent events into complete events. Buffers the bytes of an incomplete event. */
 internal class EventSplitter {
@@ -24,7 +27,8 @@
         while (true) {
             val end = endOfEvent(start)
             if (end < 0) break
-            onEvent(StreamEvent(idOf(start, end), Unpooled.copiedBuffer(buffer, start, end - start)))
+            val hasData = findField(DATA_FIELD, start, end) != null
+            onEvent(StreamEvent(idOf(start, end), hasData, Unpooled.copiedBuffer(buffer, start, end - start)))
             start = end
         }
         buffer.copyInto(buffer, 0, start, length)
@@ -56,22 +60,22 @@
         return -1
     }
 
-    private fun idOf(start: Int, end: Int): Long? {
+    private fun idOf(start: Int, end: Int): Long? = findField(ID_FIELD, start, end)?.let { line ->
+        val value = line.first + ID_FIELD.size
+        String(buffer, value, line.last + 1 - value).trim().toLongOrNull()
+    }
+
+    /** The first line of the event from [start] to [end] that begins with [field]; null if none does. */
+    private fun findField(field: ByteArray, start: Int, end: Int): IntRange? {
         var line = start
         while (line < end) {
             val next = (line until end).firstOrNull { buffer[it] == LINE_FEED } ?: end
-            if (isIdField(line, next)) return idIn(line, next)
+            if (next - line > field.size && field.indices.all { buffer[line + it] == field[it] }) return line until next
             line = next + 1
         }
         return null
     }
 
-    private fun idIn(line: Int, next: Int): Long? =
-        String(buffer, line + ID_FIELD.size, next - line - ID_FIELD.size).trim().toLongOrNull()
-
-    private fun isIdField(from: Int, to: Int): Boolean =
-        to - from > ID_FIELD.size && ID_FIELD.indices.all { buffer[from + it] == ID_FIELD[it] }
-
     private companion object {
         const val INITIAL_BYTES = 1024
 
@@ -80,5 +84,6 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         val ID_FIELD = "id:".toByteArray()
+        val DATA_FIELD = "data:".toByteArray()
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -63,6 +63,11 @@
     private val splitter = EventSplitter()
     private var sentAt: Moment = context.clock()
     private var lastActivity: Moment = sentAt
+    private var isContinuation = false
+
+    /** Id of the last event that the caller had when this answer began to continue the stream. */
+    private var continuesAfter: Long? = null
+    private var hasUnplacedEvent = false
     private var firstEventAt: Moment? = null
     private var isWellUnderWay = false
 
@@ -135,6 +140,8 @@
                 return fail(SendEnd.GARBLED, "an answer of status ${status.code()} that doesn't continue the response")
             }
             mode = Mode.STREAMING
+            isContinuation = true
+            continuesAfter = response.lastEventId
             return
         }
         mode = Mode.DISCARDING
@@ -196,15 +203,25 @@
 
     private fun onStreamBytes(bytes: ByteBuf) {
         splitter.add(bytes) { event ->
-            lastActivity = context.clock()
-            headers?.let { response.beginEvents(status, it) }
-            response.sendEvent(event)
-            checkProgress()
+            hasUnplacedEvent = hasUnplacedEvent || !isPlaced(event)
+            if (hasUnplacedEvent) event.bytes.release() else sendEvent(event)
         }
+        if (hasUnplacedEvent) return fail(SendEnd.GARBLED, "the stream continues with an event without an id")
         if (splitter.isOverlong) return fail(SendEnd.GARBLED, "the stream contains bytes that are no event")
         if (!response.isWritable) connection?.setReading(false)
     }
 
+    /** False if [event] can't be told from one that the caller has. */
+    private fun isPlaced(event: StreamEvent): Boolean =
+        !isContinuation || event.id != null || !event.hasData || response.lastEventId != continuesAfter
+
+    private fun sendEvent(event: StreamEvent) {
+        lastActivity = context.clock()
+        headers?.let { response.beginEvents(status, it) }
+        response.sendEvent(event)
+        checkProgress()
+    }
+
     private fun checkProgress() {
         val firstAt = firstEventAt ?: lastActivity.also { firstEventAt = it }
         if (isWellUnderWay || lastActivity - firstAt < CRASH_DELAY) return
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/EventSplitterTest.kt
@@ -42,6 +42,13 @@
             }
         }
 
+        test("an event without data is a comment") {
+            val hasData = mutableListOf<Boolean>()
+            val text = ": waiting\n\nid: 1\ndata: a\n\nretry: 9\n\ndata:b\n\n"
+            EventSplitter().add(Unpooled.wrappedBuffer(text.toByteArray())) { hasData += it.hasData }
+            hasData shouldContainExactly listOf(false, true, false, true)
+        }
+
         test("however a stream is split into buffers, the events are the same and no byte is lost") {
             val random = Random(SEED)
             val text = (1..200).joinToString("") { "id: $it\ndata: ${"word ".repeat(it % 7)}\n\n" }
