Don't end a stream before an event that had begun

What callers saw: an engine broke off in the middle of event 3, the next one was asked for the events after 2 and answered with none; the stream ended as complete, without event 3.

Cause: the beginning of event 3 was forgotten with the send that broke off.

Evidence, ResumedStreamTest, before this change: "an answer without events does not end a stream that broke off inside an event" got a complete stream of events 1 and 2.

The response now keeps that an event is missing until the next event is sent, and a stream that ends before counts as broken. A stream that broke off between two events still ends with an answer without events, since its last event may have been sent.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CallerResponse.kt
@@ -42,6 +42,10 @@
     /** False if the last event that was sent had no id, so that no upstream can be asked for those after it. */
     private var hasLastEventId = true
 
+    /** True if an upstream has sent the beginning of an event after the last one that the caller has. */
+    var isEventMissing = false
+        private set
+
     val timing = StreamTiming(call.caller.receivedAt)
 
     /** True once a response head has been sent to the caller. */
@@ -86,10 +90,16 @@
         }
         lastEventId = event.id ?: last
         if (event.hasData) hasLastEventId = event.id != null
+        isEventMissing = false
         timing.onEvent(context.clock())
         call.caller.write(event.bytes)
     }
 
+    /** An upstream has sent the beginning of an event and will not complete it. */
+    fun onEventBrokenOff() {
+        isEventMissing = true
+    }
+
     /** Passes [bytes] to the caller unchanged. Takes ownership of them. */
     fun sendBytes(bytes: ByteBuf) {
         check(body == Body.BYTES) { "bytes of another response within a stream" }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -114,7 +114,7 @@
     /** Ends the send as failed. */
     fun fail(end: SendEnd, detail: String) {
         connection?.abort()
-        callbacks.onFailed(end, detail)
+        reportFailure(end, detail)
     }
 
     override fun onHead(head: HttpResponse) {
@@ -173,6 +173,11 @@
     override fun onFailed(end: SendEnd, detail: String) {
         if (headers == null) context.traffic.onSendFailed(target.upstream.id, sentAt, context.clock())
         context.traffic.onAnswer(target.upstream.id, hasFailed = true, context.clock())
+        reportFailure(end, detail)
+    }
+
+    private fun reportFailure(end: SendEnd, detail: String) {
+        if (splitter.hasIncompleteEvent) response.onEventBrokenOff()
         callbacks.onFailed(end, detail)
     }
 
@@ -230,7 +235,8 @@
     }
 
     private fun finishStream() {
-        if (splitter.hasIncompleteEvent) return callbacks.onFailed(SendEnd.BROKEN, "the stream ended within an event")
+        if (splitter.hasIncompleteEvent) return reportFailure(SendEnd.BROKEN, "the stream ended within an event")
+        if (response.isEventMissing) return reportFailure(SendEnd.BROKEN, "the stream ended before an event had come")
         complete {
             headers?.let { response.beginEvents(status, it) }
             response.finish()
