Read again from a kept connection after a slow caller

What callers saw: no answer until the timeout, though the upstream had answered.

Cause: while a caller receives slowly, reading from its upstream is paused. If the answer had ended by then, the connection went back to the pool with reading still paused, and nothing resumed it: the answer to the next request over it was never read.

Evidence: UpstreamConnectionTest, "a connection whose last answer ended while reading was paused reads the next answer", timed out after 10 s on the old code.

Reading is now resumed when an answer is complete, before the connection is returned.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/UpstreamConnection.kt
@@ -137,6 +137,7 @@
         }
         val ended = listener ?: return
         listener = null
+        setReading(true)
         idleSince = clock()
         response.headers()[KEEP_ALIVE]?.let(::keepAliveTimeout)?.let { idleTimeout = it }
         if (HttpUtil.isKeepAlive(response) && isOpen && writeFuture?.isSuccess == true) onIdle(this) else close()
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/net/UpstreamConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/net/UpstreamConnectionTest.kt
@@ -21,7 +21,7 @@
 /** Result of one request; [end] is null if the answer was complete. */
 private data class Outcome(val end: SendEnd?, val status: Int, val body: String)
 
-private class Recorder(private val done: CompletableFuture<Outcome>) : AnswerListener {
+private class Recorder(private val done: CompletableFuture<Outcome>, private val onPart: () -> Unit) : AnswerListener {
     private var status = 0
     private val body = StringBuilder()
 
@@ -31,6 +31,7 @@
 
     override fun onBody(part: ByteBuf) {
         body.append(part.toString(Charsets.UTF_8))
+        onPart()
     }
 
     override fun onEnd() {
@@ -42,7 +43,12 @@
     }
 }
 
-private fun exchange(pool: ConnectionPool, group: NioEventLoopGroup, server: RawServer): Outcome {
+private fun exchange(
+    pool: ConnectionPool,
+    group: NioEventLoopGroup,
+    server: RawServer,
+    pausesReading: Boolean = false,
+): Outcome {
     val done = CompletableFuture<Outcome>()
     group.next().execute {
         pool.lease(ConnectionKey(server.address, null), 1) { lease ->
@@ -50,7 +56,8 @@
                 is Lease.Failed -> done.complete(Outcome(SendEnd.NOT_SENT, 0, lease.detail))
                 is Lease.Ready -> {
                     val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
-                    lease.connection.send(request, Recorder(done))
+                    val recorder = Recorder(done) { if (pausesReading) lease.connection.setReading(false) }
+                    lease.connection.send(request, recorder)
                 }
             }
         }
@@ -141,6 +148,21 @@
             }
         }
 
+        // Guards against a request whose answer is never read because the previous caller received too slowly.
+        test("a connection whose last answer ended while reading was paused reads the next answer") {
+            RawServer { socket ->
+                repeat(2) {
+                    socket.readRequest()
+                    socket.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n$it")
+                }
+            }.use { server ->
+                val pool = ConnectionPool(group.next(), systemClock)
+                exchange(pool, group, server, pausesReading = true).body shouldBe "0"
+                exchange(pool, group, server).body shouldBe "1"
+                pool.opened shouldBe 1
+            }
+        }
+
         test("a refused connection counts as not sent") {
             val closed = RawServer { }.also { it.close() }
             exchange(ConnectionPool(group.next(), systemClock), group, closed).end shouldBe SendEnd.NOT_SENT
