--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -148,6 +148,7 @@
     /** Also sends a repeatable request to another upstream, if it is allowed to run there as well. */
     override fun onSilent(attempt: Attempt, detail: String) {
         if (attempts.size >= MAX_OPEN_ATTEMPTS || !history.mayRetryAfterRun()) return
+        if (response.hasBegun && !response.mayBeContinued) return
         val next = chooseAndAcquire() ?: return
         log("send-silent", attempt, "detail" to detail, "silence" to attempt.silence(context.clock()))
         begin(next)
@@ -210,7 +211,7 @@
         return when {
             !history.maySendAgain() -> RetryObstacle.SENDS
             now + MIN_TIME_FOR_SEND >= call.deadline -> RetryObstacle.DEADLINE
-            response.hasBegun && !call.route.isResumable -> RetryObstacle.NOT_RESUMABLE
+            response.hasBegun && !response.mayBeContinued -> RetryObstacle.NOT_RESUMABLE
             isPromptSuspected(now) -> RetryObstacle.SUSPECTED_PROMPT
             preparedTarget == null && !acquireRetry() -> RetryObstacle.BUDGET
             else -> null
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -38,7 +38,7 @@
         /** No response head has been received. */
         WAITING,
 
-        /** The upstream refused the request, and the body is dropped. */
+        /** The answer is of no use for the response, and its body is dropped. */
         DISCARDING,
 
         /** The body is collected. */
@@ -56,13 +56,18 @@
     private var status = HttpResponseStatus.OK
     private var headers: HttpHeaders? = null
 
-    /** How the send ends if the upstream refused the request. */
-    private var refusalEnd = SendEnd.REJECTED
+    /** How the send ends if the answer is discarded. */
+    private var discardEnd = SendEnd.REJECTED
     private var discardedBytes = 0
     private val body = Unpooled.buffer(INITIAL_BODY_BYTES)
     private val splitter = EventSplitter()
     private var sentAt: Moment = context.clock()
     private var lastActivity: Moment = sentAt
+    private var isContinuation = false
+
+    /** Id of the last event that the caller had when this answer began to continue the stream. */
+    private var continuesAfter: Long? = null
+    private var hasUnplacedEvent = false
     private var firstEventAt: Moment? = null
     private var isWellUnderWay = false
 
@@ -114,7 +119,7 @@
     /** Ends the send as failed. */
     fun fail(end: SendEnd, detail: String) {
         connection?.abort()
-        callbacks.onFailed(end, detail)
+        reportFailure(end, detail)
     }
 
     override fun onHead(head: HttpResponse) {
@@ -128,12 +133,25 @@
         context.limits.onAnswer(target.upstream.id, fields.announcedRate, sentAt)
         fields.load?.let { context.traffic.onLoadReport(target.upstream.id, it.running + it.waiting, lastActivity) }
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST || fields.hasNotRun) return onRefused(fields)
-        mode = when {
-            !isSuccess() -> Mode.BUFFERING
-            !fields.isSealed -> return fail(SendEnd.GARBLED, "the answer has no seal")
-            call.route.kind == RouteKind.STREAMING -> Mode.STREAMING
-            else -> Mode.BUFFERING
+        if (isSuccess() && !fields.isSealed) return fail(SendEnd.GARBLED, "the answer has no seal")
+        if (response.hasBegun) return onContinuation(head)
+        mode = if (isSuccess() && call.route.kind == RouteKind.STREAMING) Mode.STREAMING else Mode.BUFFERING
+    }
+
+    /** Decides whether the answer continues the response, which has begun. No other may add anything to it. */
+    private fun onContinuation(head: HttpResponse) {
+        if (isSuccess()) {
+            if (!response.canContinueWith(status, head.headers())) {
+                return fail(SendEnd.GARBLED, "an answer of status ${status.code()} that doesn't continue the response")
+            }
+            mode = Mode.STREAMING
+            isContinuation = true
+            continuesAfter = response.lastEventId
+            return
         }
+        mode = Mode.DISCARDING
+        discardEnd = SendEnd.FAILED
+        if (isServerError()) recordFailure()
     }
 
     override fun onBody(part: ByteBuf) {
@@ -152,7 +170,7 @@
             Mode.STREAMING -> finishStream()
             Mode.RELAYING -> complete { response.finish() }
             Mode.BUFFERING -> finishBuffer()
-            Mode.DISCARDING -> callbacks.onFailed(refusalEnd, "the upstream answered ${status.code()}, not run")
+            Mode.DISCARDING -> callbacks.onFailed(discardEnd, discardDetail())
             Mode.WAITING -> callbacks.onFailed(SendEnd.GARBLED, "the answer has no head")
         }
     }
@@ -160,15 +178,20 @@
     override fun onFailed(end: SendEnd, detail: String) {
         if (headers == null) context.traffic.onSendFailed(target.upstream.id, sentAt, context.clock())
         context.traffic.onAnswer(target.upstream.id, hasFailed = true, context.clock())
+        reportFailure(end, detail)
+    }
+
+    private fun reportFailure(end: SendEnd, detail: String) {
+        if (splitter.hasIncompleteEvent) response.onEventBrokenOff()
         callbacks.onFailed(end, detail)
     }
 
     private fun onRefused(fields: ResponseFields) {
         mode = Mode.DISCARDING
-        refusalEnd = if (status == HttpResponseStatus.MISDIRECTED_REQUEST) SendEnd.MISDIRECTED else SendEnd.REJECTED
+        discardEnd = if (status == HttpResponseStatus.MISDIRECTED_REQUEST) SendEnd.MISDIRECTED else SendEnd.REJECTED
         val segment = fields.refusingEngine?.let { address -> target.path.firstOrNull { it.engine.address == address } }
         val refusing = segment?.engine?.id ?: target.upstream.id
-        context.refusalWatch.onRefused(refusing, call.service, refusalEnd)
+        context.refusalWatch.onRefused(refusing, call.service, discardEnd)
         logProblem(
             "forward",
             "upstream-refused",
@@ -179,31 +202,39 @@
         )
     }
 
-    /** Counts what is dropped of a refusal, since the request is sent elsewhere only once the refusal has ended. */
+    private fun discardDetail(): String = errorDetail() + if (discardEnd.hasNotRun) ", not run" else ""
+
+    /** Counts what is dropped of an answer, since the request is sent elsewhere only once the answer has ended. */
     private fun discard(bytes: ByteBuf) {
         discardedBytes += bytes.readableBytes()
-        if (discardedBytes > MAX_DISCARDED_BYTES) fail(refusalEnd, "the upstream answered ${status.code()}, not run")
+        if (discardedBytes > MAX_DISCARDED_BYTES) fail(discardEnd, discardDetail())
     }
 
     private fun onStreamBytes(bytes: ByteBuf) {
         splitter.add(bytes) { event ->
-            lastActivity = context.clock()
-            isProducing = true
-            sendEvent(event)
-            checkProgress()
+            hasUnplacedEvent = hasUnplacedEvent || !isPlaced(event)
+            if (hasUnplacedEvent) event.bytes.release() else sendEvent(event)
         }
+        if (hasUnplacedEvent) return fail(SendEnd.GARBLED, "the stream continues with an event without an id")
         if (splitter.isOverlong) return fail(SendEnd.GARBLED, "the stream contains bytes that are no event")
         if (!response.isWritable) connection?.setReading(false)
     }
 
+    /** False if [event] can't be told from one that the caller has. */
+    private fun isPlaced(event: StreamEvent): Boolean =
+        !isContinuation || event.id != null || !event.hasData || response.lastEventId != continuesAfter
+
     private fun sendEvent(event: StreamEvent) {
+        lastActivity = context.clock()
+        isProducing = true
         if (response.hasSent(event)) {
             event.bytes.release()
-            return
+        } else {
+            callbacks.onProgress()
+            headers?.let { response.beginEvents(status, it) }
+            response.sendEvent(event)
         }
-        callbacks.onProgress()
-        headers?.let { response.begin(status, it) }
-        response.sendEvent(event)
+        checkProgress()
     }
 
     private fun checkProgress() {
@@ -214,9 +245,10 @@
     }
 
     private fun finishStream() {
-        if (splitter.hasIncompleteEvent) return callbacks.onFailed(SendEnd.BROKEN, "the stream ended within an event")
+        if (splitter.hasIncompleteEvent) return reportFailure(SendEnd.BROKEN, "the stream ended within an event")
+        if (response.isEventMissing) return reportFailure(SendEnd.BROKEN, "the stream ended before an event had come")
         complete {
-            headers?.let { response.begin(status, it) }
+            headers?.let { response.beginEvents(status, it) }
             response.finish()
         }
     }
@@ -224,9 +256,13 @@
     private fun buffer(bytes: ByteBuf) {
         body.writeBytes(bytes)
         if (body.readableBytes() <= MAX_BUFFERED_BYTES) return
+        if (isServerError() && callbacks.mayReplaceFailure()) {
+            recordFailure()
+            return fail(SendEnd.FAILED, errorDetail())
+        }
         mode = Mode.RELAYING
         callbacks.onProgress()
-        headers?.let { response.begin(status, it) }
+        headers?.let { response.beginBytes(status, it) }
         response.sendBytes(body.copy())
     }
 
@@ -236,16 +272,22 @@
     }
 
     private fun finishBuffer() {
-        val hasFailed = status.codeClass() == HttpStatusClass.SERVER_ERROR
-        if (hasFailed && (response.hasBegun || callbacks.mayReplaceFailure())) {
-            val now = context.clock()
-            context.traffic.onAnswer(target.upstream.id, hasFailed = true, now)
-            context.traffic.onSendFailed(target.upstream.id, sentAt, now)
-            return callbacks.onFailed(SendEnd.FAILED, "the upstream answered ${status.code()}")
+        val hasFailed = isServerError()
+        if (hasFailed && callbacks.mayReplaceFailure()) {
+            recordFailure()
+            return callbacks.onFailed(SendEnd.FAILED, errorDetail())
         }
         complete(hasFailed) { headers?.let { response.sendWhole(status, it, body) } }
     }
 
+    private fun errorDetail(): String = "the upstream answered ${status.code()}"
+
+    private fun recordFailure() {
+        val now = context.clock()
+        context.traffic.onAnswer(target.upstream.id, hasFailed = true, now)
+        context.traffic.onSendFailed(target.upstream.id, sentAt, now)
+    }
+
     private fun complete(hasFailed: Boolean = false, deliver: () -> Unit) {
         context.traffic.onAnswer(target.upstream.id, hasFailed, context.clock())
         context.traffic.onProcessed(target.upstreamIds)
@@ -256,6 +298,8 @@
 
     private fun isSuccess(): Boolean = status.codeClass() == HttpStatusClass.SUCCESS
 
+    private fun isServerError(): Boolean = status.codeClass() == HttpStatusClass.SERVER_ERROR
+
     private fun silenceLimit(): Duration = when {
         call.route.kind != RouteKind.STREAMING -> maxOf(call.route.target * SILENCE_FACTOR, MIN_SILENCE_LIMIT)
         response.hasBegun -> EVENT_SILENCE_LIMIT
@@ -295,7 +339,7 @@
         /** A larger response is relayed before it is complete; a retry cannot replace it any more then. */
         const val MAX_BUFFERED_BYTES = 512 * 1024
 
-        /** Longest refusal after which the connection is kept. */
+        /** Longest discarded answer after which the connection is kept. */
         const val MAX_DISCARDED_BYTES = 64 * 1024
 
         /** In multiples of the route's latency objective: a later response is assumed to be lost, not just slow. */
