Believe a refusal only where it can belong to no other send

Callers of requests that may run once could get "not run" while a runner ran the request, or the request ran at a second time, when a runner wrote an earlier refusal once more on a kept connection.

Cause: an answer was matched by its id only if it had one. A refusal without an id, such as that of an earlier health check or of a request without an id, was taken for the answer to the request that used the connection next. A refused request was also sent again over the connection that had brought the refusal; the refusal written twice then had the right id, and was even delivered within the same read.

Change: an answer has to bear the id of the request, or none if the request has none; anything else counts as garbled, so the request may have run. A connection carries a request once: a further send takes another idle connection or a new one, and requests without an id take a new one. Other requests go on using a connection after a refusal, so that a burst of refusals opens few connections. Where the limit of connections is reached and only unsuitable ones are idle, the oldest of these is replaced.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -11,6 +11,7 @@
 import io.mimosatrail.gateway.log.logEvent
 import io.mimosatrail.gateway.net.ConnectionKey
 import io.mimosatrail.gateway.net.Lease
+import io.mimosatrail.gateway.net.UpstreamConnection
 import io.mimosatrail.gateway.wire.OrderOutcome
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.launch
@@ -40,6 +41,7 @@
     /** The next attempt starts no earlier than this; null if it may start at once. */
     private var retryAt: Moment? = null
     private val unreachable = HashSet<InstanceId>()
+    private val usedConnections = HashSet<UpstreamConnection>()
 
     /** Target of the next attempt if it was chosen, and its retry acquired, before the current attempt was aborted. */
     private var preparedTarget: Target? = null
@@ -91,6 +93,13 @@
 
     private fun discard(target: Target) = context.limits.onNotSent(target.upstream.id)
 
+    /**
+     * True if an answer that arrives over [connection] and has the id of this request can only be the answer to the
+     * next send. A connection that has carried an earlier send may bring the refusal of that send once more.
+     */
+    private fun isSuitable(connection: UpstreamConnection): Boolean =
+        if (call.fields.request == null) connection.isUnused else connection !in usedConnections
+
     private fun excluded(): Set<InstanceId> = history.excludedUpstreams + unreachable
 
     /** Waits for free capacity while the response can still begin or continue in time, then refuses the request. */
@@ -243,7 +252,7 @@
             context.traffic.reserve(target.path, target.tokens)
             val key = ConnectionKey(target.upstream.address, target.upstream.id)
             val maxConnections = (call.service.maxConnections / context.share().entries).coerceAtLeast(1)
-            context.pool.lease(key, maxConnections, ::onLease)
+            context.pool.lease(key, maxConnections, ::isSuitable, ::onLease)
         }
 
         fun isSilent(now: Moment): Boolean =
@@ -348,6 +357,7 @@
 
         private fun send(lease: Lease.Ready) {
             history.onSend(target.upstream.id)
+            usedConnections += lease.connection
             if (history.sends == 1) context.quarantine.onSent(call.fields.sharedParts)
             val prompt = call.fields.promptParts.joinToString("/")
             log(if (history.sends == 1) "sent" else "sent-again", this, "prompt" to prompt)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -115,8 +115,8 @@
     override fun onHead(head: HttpResponse) {
         lastActivity = context.clock()
         val fields = context.headers.readResponse(head.headers())
-        if (fields.request != null && call.fields.request != null && fields.request != call.fields.request) {
-            return fail(SendEnd.GARBLED, "the upstream sent the answer to request ${fields.request}")
+        if (fields.request != call.fields.request) {
+            return fail(SendEnd.GARBLED, "the upstream sent an answer with the request id ${fields.request}")
         }
         status = head.status()
         headers = head.headers()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ConnectionPool.kt
@@ -45,12 +45,22 @@
     var opened = 0L
         private set
 
-    /** Passes an idle connection to [onResult]; if there is none, a new one unless [maxConnections] are open. */
-    fun lease(key: ConnectionKey, maxConnections: Int, onResult: (Lease) -> Unit) {
+    /**
+     * Passes an idle connection for which [isSuitable] is true to [onResult]; if there is none, a new one, which
+     * replaces an idle one if [maxConnections] are open. Fails if all of these are in use.
+     */
+    fun lease(
+        key: ConnectionKey,
+        maxConnections: Int,
+        isSuitable: (UpstreamConnection) -> Boolean = { true },
+        onResult: (Lease) -> Unit,
+    ) {
         val target = targets.getOrPut(key) { Target() }
-        takeIdle(target)?.let { return onResult(Lease.Ready(it)) }
+        takeIdle(target, isSuitable)?.let { return onResult(Lease.Ready(it)) }
         if (target.openCount >= maxConnections) {
-            return onResult(Lease.Failed("all $maxConnections connections are in use"))
+            val replaced = target.idle.removeFirstOrNull()
+                ?: return onResult(Lease.Failed("all $maxConnections connections are in use"))
+            replaced.abort()
         }
         connect(key, target, onResult)
     }
@@ -69,13 +79,10 @@
         targets.values.removeIf { it.openCount == 0 }
     }
 
-    private fun takeIdle(target: Target): UpstreamConnection? {
+    private fun takeIdle(target: Target, isSuitable: (UpstreamConnection) -> Boolean): UpstreamConnection? {
         val now = clock()
-        while (true) {
-            val connection = target.idle.removeLastOrNull() ?: return null
-            if (connection.isOpen && now - connection.idleSince <= connection.idleTimeout) return connection
-            connection.abort()
-        }
+        val index = target.idle.indexOfLast { it.isOpen && now - it.idleSince <= it.idleTimeout && isSuitable(it) }
+        return if (index < 0) null else target.idle.removeAt(index)
     }
 
     private fun connect(key: ConnectionKey, target: Target, onResult: (Lease) -> Unit) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/UpstreamConnection.kt
@@ -44,6 +44,10 @@
     var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
         private set
 
+    /** True until the first request is sent: no answer to another request can arrive over this connection. */
+    var isUnused = true
+        private set
+
     val isOpen: Boolean get() = context.channel().isActive
 
     /** Sends [request] and passes the answer to [listener]. Releases the request. */
@@ -55,6 +59,7 @@
             return
         }
         this.listener = listener
+        isUnused = false
         head = null
         receivedBytes = 0
         writeFuture = context.writeAndFlush(request)
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/net/UpstreamConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/net/UpstreamConnectionTest.kt
@@ -42,10 +42,15 @@
     }
 }
 
-private fun exchange(pool: ConnectionPool, group: NioEventLoopGroup, server: RawServer): Outcome {
+private fun exchange(
+    pool: ConnectionPool,
+    group: NioEventLoopGroup,
+    server: RawServer,
+    isSuitable: (UpstreamConnection) -> Boolean = { true },
+): Outcome {
     val done = CompletableFuture<Outcome>()
     group.next().execute {
-        pool.lease(ConnectionKey(server.address, null), 1) { lease ->
+        pool.lease(ConnectionKey(server.address, null), 1, isSuitable) { lease ->
             when (lease) {
                 is Lease.Failed -> done.complete(Outcome(SendEnd.NOT_SENT, 0, lease.detail))
                 is Lease.Ready -> {
@@ -141,6 +146,19 @@
             }
         }
 
+        // Guards against a request that finds no connection although all that are open are idle.
+        test("an unsuitable idle connection is replaced when no more may be open") {
+            RawServer { socket ->
+                socket.readRequest()
+                socket.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                socket.readRequest()
+            }.use { server ->
+                val pool = ConnectionPool(group.next(), systemClock)
+                repeat(2) { exchange(pool, group, server) { it.isUnused }.body shouldBe "ok" }
+                pool.opened shouldBe 2
+            }
+        }
+
         test("a refused connection counts as not sent") {
             val closed = RawServer { }.also { it.close() }
             exchange(ConnectionPool(group.next(), systemClock), group, closed).end shouldBe SendEnd.NOT_SENT
