--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -7,6 +7,7 @@
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.net.ConnectionKey
 import io.mimosatrail.gateway.net.Lease
+import io.mimosatrail.gateway.net.UpstreamConnection
 import io.mimosatrail.gateway.wire.OrderOutcome
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
@@ -17,8 +18,11 @@
     /** There was no connection, so nothing was sent. */
     fun onNotConnected(attempt: Attempt, detail: String)
 
-    /** The request is about to be sent. */
-    fun onSending(attempt: Attempt)
+    /** True if [connection] can carry the attempt. */
+    fun isSuitable(connection: UpstreamConnection): Boolean
+
+    /** The request is about to be sent over [connection]. */
+    fun onSending(attempt: Attempt, connection: UpstreamConnection)
 
     /**
      * The upstream has been silent for longer than expected or is reported to be down. The attempt stays open, since the
@@ -71,7 +75,7 @@
         context.traffic.reserve(target.path, target.tokens)
         val key = ConnectionKey(target.upstream.address, target.upstream.id)
         val maxConnections = (call.service.maxConnections / context.share().entries).coerceAtLeast(1)
-        context.pool.lease(key, maxConnections, ::onLease)
+        context.pool.lease(key, maxConnections, listener::isSuitable, ::onLease)
     }
 
     /** Time since the upstream last sent anything. */
@@ -190,7 +194,7 @@
     }
 
     private fun send(lease: Lease.Ready) {
-        listener.onSending(this)
+        listener.onSending(this, lease.connection)
         exchange.send(lease.connection)
     }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -9,6 +9,7 @@
 import io.mimosatrail.core.stall.StreamActivity
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
+import io.mimosatrail.gateway.net.UpstreamConnection
 import io.mimosatrail.gateway.wire.OrderOutcome
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlin.time.Duration
@@ -42,6 +43,7 @@
     /** The next attempt starts no earlier than this; null if it may start at once. */
     private var retryAt: Moment? = null
     private val unreachable = HashSet<InstanceId>()
+    private val usedConnections = HashSet<UpstreamConnection>()
 
     /** How a begun stream ends if the retry budget, which is used up, leaves no retry in time; null if it is not waiting. */
     private var pendingFailure: PendingFailure? = null
@@ -99,6 +101,13 @@
 
     private fun discard(target: Target) = context.limits.onNotSent(target.upstream.id)
 
+    /**
+     * True if an answer that arrives over [connection] and has the id of this request can only be the answer to the
+     * next send. A connection that has carried an earlier send may bring the refusal of that send once more.
+     */
+    override fun isSuitable(connection: UpstreamConnection): Boolean =
+        if (call.fields.request == null) connection.isUnused else connection !in usedConnections
+
     private fun excluded(): Set<InstanceId> =
         history.excludedUpstreams + unreachable + attempts.map { it.target.upstream.id }
 
@@ -138,8 +147,9 @@
         if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(refusals.busy(detail))
     }
 
-    override fun onSending(attempt: Attempt) {
+    override fun onSending(attempt: Attempt, connection: UpstreamConnection) {
         history.onSend(attempt.target.upstream.id)
+        usedConnections += connection
         if (history.sends == 1) context.quarantine.onSent(call.fields.sharedParts)
         val prompt = call.fields.promptParts.joinToString("/")
         log(if (history.sends == 1) "sent" else "sent-again", attempt, "prompt" to prompt)
