Count bytes read and written as activity of a caller's connection

Callers whose body arrived slowly lost their connection: it was closed as idle although bytes had just arrived, since idleness was counted from the last whole request. So was one that still received a large response, since the response counted as ended once it was written to the output buffer.

Idleness now counts from the last bytes read, and a connection on which the unsent bytes have become fewer since the last check is not idle. A caller that stops sending or receiving is still closed after the timeout.

IdleConnectionTest on the code before: "a body that arrives slowly" failed with "Broken pipe", "a response that is received slowly" with "expected:<true> but was:<false>".

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -36,10 +36,16 @@
     private lateinit var context: ChannelHandlerContext
     private val waiting = ArrayDeque<Pair<FullHttpRequest, Moment>>()
     private var current: Exchange? = null
+
+    /** When bytes were last read or written, as far as is known. */
     private var idleSince: Moment = clock()
 
+    /** Bytes of responses that the caller has not received, at the last check. */
+    private var unsentBytes = 0L
+
     /** Closes the connection if no request is being served and it has been idle for longer than [limit]. */
     fun closeIfIdle(limit: Duration) {
+        noteWritten()
         if (current == null && clock() - idleSince > limit) context.close()
     }
 
@@ -48,15 +54,19 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        idleSince = clock()
         if (waiting.size >= MAX_WAITING) {
             context.close()
             return
         }
-        waiting.addLast(request.retain() to idleSince)
+        waiting.addLast(request.retain() to clock())
         serveNext()
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        idleSince = clock()
+        context.fireChannelReadComplete()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         waiting.forEach { (request, _) -> request.release() }
         waiting.clear()
@@ -72,6 +82,14 @@
         context.close()
     }
 
+    /** A caller that receives a response slowly is not idle. */
+    private fun noteWritten() {
+        val buffer = context.channel().unsafe().outboundBuffer() ?: return
+        val unsent = buffer.totalPendingWriteBytes() - buffer.currentProgress()
+        if (unsent != unsentBytes) idleSince = clock()
+        unsentBytes = unsent
+    }
+
     private fun serveNext() {
         if (current != null) return
         val (request, receivedAt) = waiting.removeFirstOrNull() ?: return
