Read what has arrived before a caller's idle connection is closed

A request that was sent within the idle timeout was lost if the event loop was late: it waited unread in the socket when the check for idle connections ran, and its connection was closed without an answer. The check runs in the same turn of the loop as the timers, so it may come before the read.

An idle connection is now closed by a task that is scheduled for a later turn. Every turn reads the sockets that have input before it runs tasks, so the request is read in between, and the task then finds the connection in use.

IdleConnectionTest, "a request that arrived while the event loop was late", on the code before: "expected:<true> but was:<false>".

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /**
@@ -46,7 +47,8 @@
     /** Closes the connection if no request is being served and it has been idle for longer than [limit]. */
     fun closeIfIdle(limit: Duration) {
         noteWritten()
-        if (current == null && clock() - idleSince > limit) context.close()
+        // By the next turn of the event loop, requests that arrived while this turn was late have been read.
+        if (isExpired(limit)) context.executor().schedule({ closeIfExpired(limit) }, 1, TimeUnit.MILLISECONDS)
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -82,6 +84,12 @@
         context.close()
     }
 
+    private fun closeIfExpired(limit: Duration) {
+        if (isExpired(limit)) context.close()
+    }
+
+    private fun isExpired(limit: Duration): Boolean = current == null && clock() - idleSince > limit
+
     /** A caller that receives a response slowly is not idle. */
     private fun noteWritten() {
         val buffer = context.channel().unsafe().outboundBuffer() ?: return
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/IdleConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/IdleConnectionTest.kt
@@ -70,6 +70,13 @@
         awaitTurn()
     }
 
+    /** Lets [time] pass while the event loop is late, so that [text], which arrives meanwhile, is not read. */
+    fun passLate(time: Duration, text: String) = onLoop {
+        send(text)
+        passed += time
+        server.closeIdle()
+    }
+
     /** Returns after the event loop has read what was sent before. */
     private fun awaitTurn() = repeat(2) {
         onLoop {}
@@ -111,6 +118,11 @@
                     pass(idleTimeout + 1.seconds)
                     get()
                 },
+                IdleCase("a request that arrived while the event loop was late", isAnswered = true) {
+                    get()
+                    passLate(idleTimeout + 1.seconds, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                    isAnswered()
+                },
                 IdleCase("a body that arrives slowly", isAnswered = true) {
                     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n")
                     repeat(3) {
