Apply a shorter idle timeout from the next response on

When a configuration shortened the idle timeout, the next check closed all connections that had been idle for longer than the new value, in one tick, although their callers had been promised the longer one: requests that were on their way to these connections were lost.

A connection now keeps the timeout that was configured when its last response ended. A longer timeout applies at once.

IdleConnectionTest, "a timeout that becomes shorter after the last response", on the code before: "expected:<true> but was:<false>".

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.gateway.front
 
+import io.mimosatrail.core.front.FrontLimits
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
 import io.netty.buffer.ByteBuf
@@ -22,7 +23,6 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import java.util.concurrent.TimeUnit
-import kotlin.time.Duration
 
 /**
  * One connection of a caller. Serves its requests one at a time, in order; pipelined requests wait.
@@ -31,6 +31,7 @@
  */
 internal class FrontConnection(
     private val clock: Clock,
+    private val limits: () -> FrontLimits,
     private val isStopping: () -> Boolean,
     private val serve: (Caller) -> Unit,
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
@@ -41,14 +42,20 @@
     /** When bytes were last read or written, as far as is known. */
     private var idleSince: Moment = clock()
 
+    /** The timeout that was configured when the last response ended. */
+    private var idleTimeout = limits().idleTimeout
+
     /** Bytes of responses that the caller has not received, at the last check. */
     private var unsentBytes = 0L
 
-    /** Closes the connection if no request is being served and it has been idle for longer than [limit]. */
-    fun closeIfIdle(limit: Duration) {
+    /**
+     * Closes the connection if it has been idle for too long. A longer timeout applies at once, a shorter one from the
+     * next response on, since the caller may rely on the earlier one.
+     */
+    fun closeIfIdle() {
         noteWritten()
         // By the next turn of the event loop, requests that arrived while this turn was late have been read.
-        if (isExpired(limit)) context.executor().schedule({ closeIfExpired(limit) }, 1, TimeUnit.MILLISECONDS)
+        if (isExpired()) context.executor().schedule(::closeIfExpired, 1, TimeUnit.MILLISECONDS)
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -84,11 +91,11 @@
         context.close()
     }
 
-    private fun closeIfExpired(limit: Duration) {
-        if (isExpired(limit)) context.close()
+    private fun closeIfExpired() {
+        if (isExpired()) context.close()
     }
 
-    private fun isExpired(limit: Duration): Boolean = current == null && clock() - idleSince > limit
+    private fun isExpired(): Boolean = current == null && clock() - idleSince > maxOf(idleTimeout, limits().idleTimeout)
 
     /** A caller that receives a response slowly is not idle. */
     private fun noteWritten() {
@@ -180,6 +187,7 @@
             release()
             val write = context.writeAndFlush(last)
             idleSince = clock()
+            idleTimeout = limits().idleTimeout
             if (closeAfterResponse) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
         }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
@@ -42,14 +42,11 @@
     }
 
     /** Closes connections that have been idle for longer than the configured timeout. */
-    fun closeIdle() {
-        val limit = limits().idleTimeout
-        connections.toList().forEach { it.closeIfIdle(limit) }
-    }
+    fun closeIdle() = connections.toList().forEach { it.closeIfIdle() }
 
     private fun prepare(channel: Channel) {
         val currentLimits = limits()
-        val connection = FrontConnection(clock, { isStopping }, serve)
+        val connection = FrontConnection(clock, limits, { isStopping }, serve)
         connections += connection
         channel.closeFuture().addListener { connections -= connection }
         val decoder = HttpDecoderConfig().setMaxHeaderSize(currentLimits.maxHeaderBytes)
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/IdleConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/IdleConnectionTest.kt
@@ -23,7 +23,7 @@
 private class IdleFixture(private val group: NioEventLoopGroup) : AutoCloseable {
     private val start = systemClock()
     private var passed = Duration.ZERO
-    private val limits = FrontLimits(maxHeaderBytes = 1_024, maxBodyBytes = 2_048, 3.seconds, idleTimeout)
+    private var limits = FrontLimits(maxHeaderBytes = 1_024, maxBodyBytes = 2_048, 3.seconds, idleTimeout)
     private val server = FrontServer(group, { start + passed }, { limits }) {
         val body = if (it.request.uri() == "/large") ByteArray(LARGE_BODY) else "ok".toByteArray()
         it.respond(HttpResponseStatus.OK, DefaultHttpHeaders(), Unpooled.wrappedBuffer(body))
@@ -77,6 +77,10 @@
         server.closeIdle()
     }
 
+    fun configure(timeout: Duration) {
+        limits = limits.copy(idleTimeout = timeout)
+    }
+
     /** Returns after the event loop has read what was sent before. */
     private fun awaitTurn() = repeat(2) {
         onLoop {}
@@ -144,6 +148,25 @@
                     repeat(3) { pass(idleTimeout - 1.seconds) }
                     isAnswered()
                 },
+                IdleCase("a timeout that becomes shorter after the last response", isAnswered = true) {
+                    get()
+                    configure(1.seconds)
+                    pass(idleTimeout - 1.seconds)
+                    get()
+                },
+                IdleCase("a timeout that became shorter before the last response", isAnswered = false) {
+                    get()
+                    configure(1.seconds)
+                    get()
+                    pass(2.seconds)
+                    get()
+                },
+                IdleCase("a timeout that becomes longer", isAnswered = true) {
+                    get()
+                    configure(idleTimeout * 2)
+                    pass(idleTimeout + 1.seconds)
+                    get()
+                },
             ) { case -> IdleFixture(group).use { case.act(it) } shouldBe case.isAnswered }
         }
     })
