--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/IdleConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/IdleConnectionTest.kt
@@ -77,7 +77,8 @@
         server.closeIdle()
     }
 
-    fun configure(timeout: Duration) {
+    /** Changes the timeout after the last response has ended; the caller may have received it slightly earlier. */
+    fun configure(timeout: Duration) = onLoop {
         limits = limits.copy(idleTimeout = timeout)
     }
 
