Serve no request behind a response that closes the connection

Requests were forwarded whose connection was closing already: a pipelined request that arrived with, or right after, one whose response carries "Connection: close" or is cut was passed on to an upstream, and its caller got no response. At a planned stop every response closes its connection.

The connection now records, when it announces the close or closes, that it serves no further request. Such requests have not run, and HTTP has the caller send them again on another connection.

FrontConnectionTest on the code before, in all three cases of "a request behind one whose response closes the connection is not served": expected ["/last"] but was ["/last", "/next"].

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -39,6 +39,9 @@
     private val waiting = ArrayDeque<Pair<FullHttpRequest, Moment>>()
     private var current: Exchange? = null
 
+    /** True once the connection closes after the current response or at once; further requests are not served. */
+    private var isClosing = false
+
     /** When bytes were last read or written, as far as is known. */
     private var idleSince: Moment = clock()
 
@@ -63,10 +66,8 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        if (waiting.size >= MAX_WAITING) {
-            context.close()
-            return
-        }
+        if (isClosing) return
+        if (waiting.size >= MAX_WAITING) return close()
         waiting.addLast(request.retain() to clock())
         serveNext()
     }
@@ -87,12 +88,15 @@
         if (context.channel().isWritable) current?.caller?.onWritable?.invoke()
     }
 
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = close()
+
+    private fun close() {
+        isClosing = true
         context.close()
     }
 
     private fun closeIfExpired() {
-        if (isExpired()) context.close()
+        if (isExpired()) close()
     }
 
     private fun isExpired(): Boolean = current == null && clock() - idleSince > maxOf(idleTimeout, limits().idleTimeout)
@@ -117,7 +121,6 @@
     private inner class Exchange(private val request: FullHttpRequest, receivedAt: Moment) : ResponseWriter {
         val caller = Caller(request, receivedAt, this)
         private val isKeepAlive = HttpUtil.isKeepAlive(request)
-        private var closeAfterResponse = false
         private var isFinished = false
 
         override val isWritable: Boolean get() = context.channel().isWritable
@@ -158,7 +161,7 @@
         override fun cut() {
             if (isFinished) return
             release()
-            context.close()
+            close()
         }
 
         fun onClosed() {
@@ -168,7 +171,7 @@
         }
 
         fun refuseMalformed(failure: Throwable) {
-            closeAfterResponse = true
+            isClosing = true
             val status = when {
                 failure !is TooLongFrameException -> HttpResponseStatus.BAD_REQUEST
                 failure.message.orEmpty().contains("header", ignoreCase = true) ->
@@ -179,8 +182,8 @@
         }
 
         private fun prepare(response: HttpResponse) {
-            closeAfterResponse = closeAfterResponse || !isKeepAlive || isStopping()
-            if (closeAfterResponse) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+            isClosing = isClosing || !isKeepAlive || isStopping()
+            if (isClosing) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         }
 
         private fun end(last: Any) {
@@ -188,7 +191,7 @@
             val write = context.writeAndFlush(last)
             idleSince = clock()
             idleTimeout = limits().idleTimeout
-            if (closeAfterResponse) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
+            if (isClosing) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
         }
 
         private fun release() {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
@@ -16,6 +16,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -144,4 +145,34 @@
                 it.readUntil("<ok>").lowercase() shouldContain "connection: close"
             }
         }
+
+        // Guards against a request that is passed on although its connection closes before the response.
+        context("a request behind one whose response closes the connection is not served") {
+            data class Case(
+                val name: String,
+                val header: String = "",
+                val isStopping: Boolean = false,
+                val isCut: Boolean,
+            )
+            withData(
+                nameFn = { case: Case -> case.name },
+                Case("the caller asked for the close", "Connection: close\r\n", isCut = false),
+                Case("the server is stopping", isStopping = true, isCut = false),
+                Case("the response is cut", isCut = true),
+            ) { case ->
+                val served = CopyOnWriteArrayList<String>()
+                val (server, address) = serve {
+                    served += it.request.uri()
+                    if (case.isCut) it.cut() else it.respondText("<ok>")
+                }
+                server.isStopping = case.isStopping
+                connect(address).use {
+                    val next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+                    it.getOutputStream().write("GET /last HTTP/1.1\r\nHost: h\r\n${case.header}\r\n$next".toByteArray())
+                    it.readUntil("never")
+                }
+                group.submit {}.get()
+                served shouldBe listOf("/last")
+            }
+        }
     })
