Answer pipelined requests that were read before a planned stop

At a planned stop the first response on a connection closed it, and the pipelined requests behind it, which had been read in full, ended without a response.

While such requests wait, the response does not announce the close; the one to the last of them does. Requests that arrive after that are not served.

FrontConnectionTest, "a stopping server responds to the pipelined requests that it has read, then closes the connection", on the code before: expected ["</1>", "</2>", "</3>"] but was ["</1>"].

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -182,7 +182,7 @@
         }
 
         private fun prepare(response: HttpResponse) {
-            isClosing = isClosing || !isKeepAlive || isStopping()
+            isClosing = isClosing || !isKeepAlive || (isStopping() && waiting.isEmpty())
             if (isClosing) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
@@ -23,7 +23,7 @@
 ) {
     private val connections = HashSet<FrontConnection>()
 
-    /** True while the server stops: it still serves requests, but closes each connection after the response. */
+    /** True while the server stops: it still serves requests, but closes each connection once all are answered. */
     var isStopping = false
 
     /** Binds [address] and returns when the server listens. Throws an `IOException` if [address] cannot be bound. */
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
@@ -22,6 +22,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val TIMEOUT_SECONDS = 10L
+private const val TURN_MILLIS = 10L
 private val limits = FrontLimits(maxHeaderBytes = 1_024, maxBodyBytes = 2_048, 5.seconds, 5.seconds)
 
 private fun Caller.respondText(text: String) =
@@ -175,4 +176,25 @@
                 served shouldBe listOf("/last")
             }
         }
+
+        // Guards against pipelined requests that were read and end without a response at a planned stop.
+        test("a stopping server responds to the pipelined requests that it has read, then closes the connection") {
+            val first = CompletableFuture<Caller>()
+            val (server, address) = serve { if (!first.complete(it)) it.respondText("<${it.request.uri()}>") }
+            connect(address).use { socket ->
+                socket.sendGet("/1")
+                val caller = first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                socket.sendGet("/2")
+                socket.sendGet("/3")
+                repeat(2) { group.submit { Thread.sleep(TURN_MILLIS) }.get() }
+                group.submit {
+                    server.isStopping = true
+                    caller.respondText("</1>")
+                }.get()
+                val responses = socket.readUntil("never")
+                Regex("</\\d>").findAll(responses).map { it.value }.toList() shouldBe listOf("</1>", "</2>", "</3>")
+                responses.lowercase().substringAfter("</2>") shouldContain "connection: close"
+                responses.lowercase().substringBefore("</2>") shouldNotContain "connection: close"
+            }
+        }
     })
