--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -1,5 +1,6 @@
 package io.mimosatrail.gateway.front
 
+import io.mimosatrail.core.front.FrontLimits
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.Moment
 import io.netty.buffer.ByteBuf
@@ -21,7 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import kotlin.time.Duration
+import java.util.concurrent.TimeUnit
 
 /**
  * One connection of a caller. Serves its requests one at a time, in order; pipelined requests wait.
@@ -30,17 +31,34 @@
  */
 internal class FrontConnection(
     private val clock: Clock,
+    private val limits: () -> FrontLimits,
     private val isStopping: () -> Boolean,
     private val serve: (Caller) -> Unit,
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
     private lateinit var context: ChannelHandlerContext
     private val waiting = ArrayDeque<Pair<FullHttpRequest, Moment>>()
     private var current: Exchange? = null
+
+    /** True once the connection closes after the current response or at once; further requests are not served. */
+    private var isClosing = false
+
+    /** When bytes were last read or written, as far as is known. */
     private var idleSince: Moment = clock()
 
-    /** Closes the connection if no request is being served and it has been idle for longer than [limit]. */
-    fun closeIfIdle(limit: Duration) {
-        if (current == null && clock() - idleSince > limit) context.close()
+    /** The timeout that was configured when the last response ended. */
+    private var idleTimeout = limits().idleTimeout
+
+    /** Bytes of responses that the caller has not received, at the last check. */
+    private var unsentBytes = 0L
+
+    /**
+     * Closes the connection if it has been idle for too long. A longer timeout applies at once, a shorter one from the
+     * next response on, since the caller may rely on the earlier one.
+     */
+    fun closeIfIdle() {
+        noteWritten()
+        // By the next turn of the event loop, requests that arrived while this turn was late have been read.
+        if (isExpired()) context.executor().schedule(::closeIfExpired, 1, TimeUnit.MILLISECONDS)
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -48,15 +66,17 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        idleSince = clock()
-        if (waiting.size >= MAX_WAITING) {
-            context.close()
-            return
-        }
-        waiting.addLast(request.retain() to idleSince)
+        if (isClosing) return
+        if (waiting.size >= MAX_WAITING) return close()
+        waiting.addLast(request.retain() to clock())
         serveNext()
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        idleSince = clock()
+        context.fireChannelReadComplete()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         waiting.forEach { (request, _) -> request.release() }
         waiting.clear()
@@ -68,10 +88,27 @@
         if (context.channel().isWritable) current?.caller?.onWritable?.invoke()
     }
 
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = close()
+
+    private fun close() {
+        isClosing = true
         context.close()
     }
 
+    private fun closeIfExpired() {
+        if (isExpired()) close()
+    }
+
+    private fun isExpired(): Boolean = current == null && clock() - idleSince > maxOf(idleTimeout, limits().idleTimeout)
+
+    /** A caller that receives a response slowly is not idle. */
+    private fun noteWritten() {
+        val buffer = context.channel().unsafe().outboundBuffer() ?: return
+        val unsent = buffer.totalPendingWriteBytes() - buffer.currentProgress()
+        if (unsent != unsentBytes) idleSince = clock()
+        unsentBytes = unsent
+    }
+
     private fun serveNext() {
         if (current != null) return
         val (request, receivedAt) = waiting.removeFirstOrNull() ?: return
@@ -84,7 +121,6 @@
     private inner class Exchange(private val request: FullHttpRequest, receivedAt: Moment) : ResponseWriter {
         val caller = Caller(request, receivedAt, this)
         private val isKeepAlive = HttpUtil.isKeepAlive(request)
-        private var closeAfterResponse = false
         private var isFinished = false
 
         override val isWritable: Boolean get() = context.channel().isWritable
@@ -125,7 +161,7 @@
         override fun cut() {
             if (isFinished) return
             release()
-            context.close()
+            close()
         }
 
         fun onClosed() {
@@ -135,7 +171,7 @@
         }
 
         fun refuseMalformed(failure: Throwable) {
-            closeAfterResponse = true
+            isClosing = true
             val status = when {
                 failure !is TooLongFrameException -> HttpResponseStatus.BAD_REQUEST
                 failure.message.orEmpty().contains("header", ignoreCase = true) ->
@@ -146,15 +182,16 @@
         }
 
         private fun prepare(response: HttpResponse) {
-            closeAfterResponse = closeAfterResponse || !isKeepAlive || isStopping()
-            if (closeAfterResponse) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+            isClosing = isClosing || !isKeepAlive || (isStopping() && waiting.isEmpty())
+            if (isClosing) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         }
 
         private fun end(last: Any) {
             release()
             val write = context.writeAndFlush(last)
             idleSince = clock()
-            if (closeAfterResponse) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
+            idleTimeout = limits().idleTimeout
+            if (isClosing) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
         }
 
         private fun release() {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/front/FrontConnectionTest.kt
@@ -16,11 +16,13 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
 private const val TIMEOUT_SECONDS = 10L
+private const val TURN_MILLIS = 10L
 private val limits = FrontLimits(maxHeaderBytes = 1_024, maxBodyBytes = 2_048, 5.seconds, 5.seconds)
 
 private fun Caller.respondText(text: String) =
@@ -144,4 +146,55 @@
                 it.readUntil("<ok>").lowercase() shouldContain "connection: close"
             }
         }
+
+        // Guards against a request that is passed on although its connection closes before the response.
+        context("a request behind one whose response closes the connection is not served") {
+            data class Case(
+                val name: String,
+                val header: String = "",
+                val isStopping: Boolean = false,
+                val isCut: Boolean,
+            )
+            withData(
+                nameFn = { case: Case -> case.name },
+                Case("the caller asked for the close", "Connection: close\r\n", isCut = false),
+                Case("the server is stopping", isStopping = true, isCut = false),
+                Case("the response is cut", isCut = true),
+            ) { case ->
+                val served = CopyOnWriteArrayList<String>()
+                val (server, address) = serve {
+                    served += it.request.uri()
+                    if (case.isCut) it.cut() else it.respondText("<ok>")
+                }
+                server.isStopping = case.isStopping
+                connect(address).use {
+                    val next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+                    it.getOutputStream().write("GET /last HTTP/1.1\r\nHost: h\r\n${case.header}\r\n$next".toByteArray())
+                    it.readUntil("never")
+                }
+                group.submit {}.get()
+                served shouldBe listOf("/last")
+            }
+        }
+
+        // Guards against pipelined requests that were read and end without a response at a planned stop.
+        test("a stopping server responds to the pipelined requests that it has read, then closes the connection") {
+            val first = CompletableFuture<Caller>()
+            val (server, address) = serve { if (!first.complete(it)) it.respondText("<${it.request.uri()}>") }
+            connect(address).use { socket ->
+                socket.sendGet("/1")
+                val caller = first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                socket.sendGet("/2")
+                socket.sendGet("/3")
+                repeat(2) { group.submit { Thread.sleep(TURN_MILLIS) }.get() }
+                group.submit {
+                    server.isStopping = true
+                    caller.respondText("</1>")
+                }.get()
+                val responses = socket.readUntil("never")
+                Regex("</\\d>").findAll(responses).map { it.value }.toList() shouldBe listOf("</1>", "</2>", "</3>")
+                responses.lowercase().substringAfter("</2>") shouldContain "connection: close"
+                responses.lowercase().substringBefore("</2>") shouldNotContain "connection: close"
+            }
+        }
     })
