Leave engines with layers beyond the model out of paths

An engine's entry with layers that its model does not have, be it by one layer, made every path search of the service throw: PathTable keeps its states in arrays with one row for each layer of the model and indexes them with the end of each engine's range. Requests of the service then got no answer and no refusal while the entry was listed.

EngineView, which already leaves out engines of a kind that the profile lacks, now also leaves out those whose layers end beyond the profile's. That is checked where both are known, so it also holds for observations of other entries and for a new configuration with fewer layers.

--- a/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/balance/EngineView.kt
@@ -7,8 +7,8 @@
 import io.mimosatrail.core.time.Moment
 
 /**
- * Input of the path search: the engines of a service that hold layers, are not draining and are not avoided, each with
- * its estimated load.
+ * Input of the path search: the engines of a service that hold layers of the model, are not draining and are not
+ * avoided, each with its estimated load.
  *
  * The load is the sum of this entry's own streams and the load that other entries reported. Entries without a recent
  * report are assumed to have the average load of the known ones.
@@ -56,7 +56,7 @@
         (entries.toDouble() / (1 + peers.reportingCount(now))).coerceIn(1.0, MAX_LOAD_SCALE)
 
     private fun pathEngine(record: UpstreamRecord, loadScale: Double, now: Moment, mayBeFirst: Boolean): PathEngine? {
-        val layers = record.layers ?: return null
+        val layers = record.layers?.takeIf { it.end <= profile.layers } ?: return null
         val accelerator = profile.kinds[record.kind] ?: return null
         val row = traffic[record.id]
         if (row.isAvoided(now)) return null
