Skip items of other writers whose values cannot be used

Among the keys of the entries, hosts that have to be resolved and port 0 became peers. A part of 100,000 characters under the keys of the quarantine would have made each message to the other entries longer than a datagram. Datagrams were checked too: none of 11 malformed ones had an effect on later ones.

--- a/core/src/test/kotlin/io/mimosatrail/core/net/PeerAddressTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/net/PeerAddressTest.kt
@@ -19,4 +19,23 @@
                 "host:65536" to null,
             ) { (text, address) -> text.toPeerAddressOrNull() shouldBe address }
         }
+
+        context("only addresses in dotted decimal form are IPv4 addresses") {
+            withData(
+                nameFn = { (host, _): Pair<String, Boolean> -> "'$host'" },
+                "0.0.0.0" to true,
+                "10.200.1.7" to true,
+                "255.255.255.255" to true,
+                "256.0.0.1" to false,
+                "1.2.3" to false,
+                "1.2.3.4.5" to false,
+                "1.2.3.4 " to false,
+                "01.2.3.4" to false,
+                "1.2.3.+4" to false,
+                "1.2..4" to false,
+                "::1" to false,
+                "example.org" to false,
+                "not an ip" to false,
+            ) { (host, isIpv4) -> PeerAddress(host, 80).isIpv4 shouldBe isIpv4 }
+        }
     })
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/EntryMembership.kt
@@ -188,7 +188,8 @@
     private fun toEntry(value: StoredValue): Pair<InstanceId, PeerAddress>? {
         val id = value.key.value.removePrefix("$ENTRIES/")
         if (id == value.key.value) return null
-        return value.value.decodeToString().toPeerAddressOrNull()?.let { InstanceId(id) to it }
+        val address = value.value.decodeToString().toPeerAddressOrNull()?.takeIf { it.isIpv4 && it.port > 0 }
+        return address?.let { InstanceId(id) to it }
     }
 
     /** Claims the duty if its key is at revision [expected]; 0 if nobody holds it. */
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeper.kt
@@ -30,7 +30,7 @@
 
     /** Has [part] written to the store. */
     fun save(part: PromptPartId) {
-        if (part.value.length <= MAX_PART_LENGTH) unsaved += part
+        if (canBeSaved(part)) unsaved += part
     }
 
     /** Has all parts written again that are still quarantined, after the store was restored from a backup. */
@@ -54,6 +54,8 @@
         }
     }
 
+    private fun canBeSaved(part: PromptPartId): Boolean = part.value.length in 1..MAX_PART_LENGTH
+
     private suspend fun restore(): Boolean {
         val values = when (val listing = store.listAll(QUARANTINE / "")) {
             is Listing.Complete -> listing.values
@@ -63,7 +65,7 @@
             }
         }
         outageLog.onAnswer()
-        val parts = values.map { PromptPartId(it.value.decodeToString()) }
+        val parts = values.map { PromptPartId(it.value.decodeToString()) }.filter(::canBeSaved)
         quarantine.restore(parts, clock())
         parts.forEach { logProblem("quarantine", "restored", "part" to it) }
         return true
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/EntryMembershipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/EntryMembershipTest.kt
@@ -98,6 +98,18 @@
             startEntry(store, "edge-2").dutyTerm().shouldBeNull()
         }
 
+        // Guards against messages to hosts that would have to be resolved on the event loop.
+        test("keys of other writers among those of the entries name no peer") {
+            val store = FakeStore()
+            val odd = listOf("", "not an ip:7000", "example.org:7000", "10.0.0.1:0", "10.0.0.1:70000", "\u0000")
+            odd.forEachIndexed { index, text ->
+                val key = StoreKey("mimosatrail/entries/odd-$index")
+                store.answer(StoreCommand.Put(key, text.toByteArray(), null, null))
+            }
+            store.answer(StoreCommand.Put(StoreKey("mimosatrail/entries/b"), "10.0.0.2:7000".toByteArray(), null, null))
+            startEntry(store, "a").registered.peers shouldBe listOf(PeerAddress("10.0.0.2", 7_000))
+        }
+
         test("a restarted entry does not mistake the duty of its earlier process for its own") {
             val store = FakeStore()
             startEntry(store, "edge-1").isDutyHolder shouldBe true
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeperTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/follow/QuarantineKeeperTest.kt
@@ -7,6 +7,7 @@
 import io.mimosatrail.core.id.StoreRevision
 import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.store.StoreCommand
+import io.mimosatrail.core.store.StoreKey
 import io.mimosatrail.core.store.StoreReply
 import io.mimosatrail.core.store.StoredValue
 import io.mimosatrail.core.time.Moment
@@ -55,6 +56,22 @@
             }
         }
 
+        // Guards against a part that makes the messages to the other entries longer than a datagram.
+        test("keys of other writers among those of the quarantine are ignored") {
+            runTest {
+                val store = RefusingStore(refusals = 0)
+                listOf("", "x".repeat(100_000), part.value).forEach {
+                    val key = StoreKey("mimosatrail/quarantine/$it")
+                    store.values += StoredValue(key, it.toByteArray(), StoreRevision(1), StoreRevision(1))
+                }
+                val quarantine = PromptQuarantine()
+                val job = launch { QuarantineKeeper({ store.answer(it) }, quarantine, clock = { start }).run() }
+                delay(2.seconds)
+                job.cancel()
+                quarantine.report(start).quarantined.map { it.part } shouldBe listOf(part)
+            }
+        }
+
         // Guards against crashes that start again after a restore of the store and a loss of all entries.
         test("a quarantine that a restore of the store has lost is saved again") {
             runTest {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/gossip/LoadGossipTest.kt
@@ -21,8 +21,10 @@
 import io.mimosatrail.gateway.forward.UpstreamState
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
+import java.net.DatagramPacket
 import java.net.DatagramSocket
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import kotlin.time.Duration.Companion.seconds
 
 /** One entry whose gossip is on a loopback address. */
@@ -78,4 +80,35 @@
                 group.shutdownGracefully()
             }
         }
+
+        // Guards against a datagram of another sender that ends the exchange of loads.
+        context("a datagram that cannot be decoded has no effect on later ones") {
+            fun hex(text: String) = text.chunked(2).map { it.toInt(16).toByte() }.toByteArray()
+            val from = "64" + "from".toByteArray().joinToString("") { "%02x".format(it) }
+            val loads = "65" + "loads".toByteArray().joinToString("") { "%02x".format(it) }
+            withData(
+                nameFn = { (name, _): Pair<String, ByteArray> -> name },
+                "empty" to ByteArray(0),
+                "text" to "not a message".toByteArray(),
+                "a list that declares 2147483647 elements" to hex("a1${loads}9a7fffffff"),
+                "a list that declares 9223372036854775807 elements" to hex("a1${loads}9b7fffffffffffffff"),
+                "a map that declares 2147483647 entries" to hex("ba7fffffff"),
+                "a text that declares 2147483647 bytes" to hex("a1${from}7a7fffffff"),
+                "a text that declares 9223372036854775807 bytes" to hex("a1${from}7b7fffffffffffffff"),
+                "10,000 nested arrays" to hex("a1$loads" + "81".repeat(10_000)),
+                "10,000 nested arrays of open length" to hex("a1$loads" + "9f".repeat(10_000)),
+                "10,000 nested maps under an unknown name" to hex("a1" + "a16161".repeat(10_000)),
+                "10,000 nested tags" to hex("a1$loads" + "c1".repeat(10_000)),
+            ) { (_, bytes) ->
+                val group = NioEventLoopGroup(1)
+                val receiver = GossipingEntry("receiver", group.next()) { emptyList() }
+                val sender = GossipingEntry("sender", group.next()) { listOf(receiver.address) }
+                val to = InetSocketAddress(receiver.address.host, receiver.address.port)
+                DatagramSocket().use { it.send(DatagramPacket(bytes, bytes.size, to)) }
+                sender.traffic.reserve(listOf(segment(InstanceId("i-1"))), 1_000)
+                sender.gossip.send(systemClock())
+                eventually(5.seconds) { receiver.loads.at(InstanceId("i-1"), systemClock()).sequences shouldBe 1 }
+                group.shutdownGracefully()
+            }
+        }
     })
