Run the periodic steps of an entry again after a failure

Each step that an entry repeats until it stops (configuration, registry, membership, placement, quarantine) ran in a coroutine that ended for good at the first exception that nobody had foreseen. The process went on with what it had read by then, and only the standard error stream showed it: an entry kept sending to upstreams that had left, or lost its lease.

launchSupervised runs such a step again after a pause of 250 ms and logs the failure with its stack trace at level error as `step-failed`. It is the one place that catches any Throwable: an OutOfMemoryError or StackOverflowError is logged too and doesn't end the step. Cancellation of the entry's scope still ends it; a CancellationException of something else inside the step doesn't. What ends a short task of the scope, which nothing restarts, is logged in the same way.

GatewayFaultsTest starts an entry on a store whose first two calls of one kind throw.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -43,7 +43,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.launch
 import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,7 +61,7 @@
     private val clock: Clock = systemClock
     private val group = NioEventLoopGroup(1, DefaultThreadFactory("gateway", true))
     private val loop = group.next()
-    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failureHandler)
     private val timers = TimerService()
     private val pool = ConnectionPool(loop, clock)
     private val ports = makePorts(ControlClient(pool, loop))
@@ -174,11 +173,11 @@
             TimeUnit.MILLISECONDS,
         )
         ports.timelines.onRestored(::onStoreRestored)
-        scope.launch { configurationFollower.run() }
-        scope.launch { registryFollower.run() }
-        scope.launch { membership.run() }
-        scope.launch { duty.run() }
-        scope.launch { quarantineKeeper.run() }
+        scope.launchSupervised("configuration", configurationFollower::run)
+        scope.launchSupervised("registry", registryFollower::run)
+        scope.launchSupervised("membership", membership::run)
+        scope.launchSupervised("placement", duty::run)
+        scope.launchSupervised("quarantine", quarantineKeeper::run)
         logEvent("gateway", "started", "settings" to settings)
     }
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/log/EventLog.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/log/EventLog.kt
@@ -19,6 +19,11 @@
     log.warn { line(component, event, fields) }
 }
 
+/** Logs at level error, with the stack trace, that [step] failed for a reason that was not foreseen. */
+internal fun logFailure(step: String, cause: Throwable) {
+    log.error(cause) { line("gateway", "step-failed", arrayOf("step" to step, "cause" to cause)) }
+}
+
 private fun line(component: String, event: String, fields: Array<out Pair<String, Any?>>): String = buildString {
     append(component).append(": ").append(event)
     for ((name, value) in fields) {
