Keep timers running when the action of one of them throws

TimerService.advance ended at the first action that threw, so the actions after it did not run then. In an entry the exception also left the task of the event loop that advances the timers at a fixed rate, and a periodic task that throws isn't run again: deadlines, the watch for stalled engines, the messages to the other entries and the closing of idle connections would all have ended at once.

TimerService now calls onFailure for an action that throws and goes on with the next. The entry and the daemon log it with the timer's name; tests and benches rethrow it, as before.

That the periodic task ends is from its contract, not from a run.

--- a/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallCluster.kt
+++ b/bench/src/main/kotlin/io/mimosatrail/bench/journal/CallCluster.kt
@@ -53,7 +53,7 @@
     val upstreams = List(sidecars) { PlainStandin(workMillis = workMillis).start() }
     val store = HttpStore(storeStandin.url)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val timers = TimerService()
+    private val timers = TimerService { _, cause -> throw cause }
     private val peers = LocalPeers()
     private val clients = upstreams.map { HttpPlainClient(it.url) }
     private val configuration = Configuration(services = mapOf(service.id to service))
--- a/bench/src/test/kotlin/io/mimosatrail/bench/recovery/TestNode.kt
+++ b/bench/src/test/kotlin/io/mimosatrail/bench/recovery/TestNode.kt
@@ -43,7 +43,7 @@
 
         private fun hostOf(self: InstanceEntry, node: PeerNode, messages: MessageRouter): Host {
             val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-            val timers = TimerService()
+            val timers = TimerService { _, cause -> throw cause }
             scope.launch {
                 while (true) {
                     timers.advance(systemClock())
--- a/core/src/main/kotlin/io/mimosatrail/core/time/TimerService.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/time/TimerService.kt
@@ -6,8 +6,9 @@
  * Runs actions periodically. It has no thread of its own: the host calls [advance], and due actions run in that call.
  *
  * Due actions run in order of due time, then of subscription. An action that is late by several periods runs once.
+ * [onFailure] is called with the name of an action that throws and with what it threw; the others run all the same.
  */
-class TimerService {
+class TimerService(private val onFailure: (name: String, cause: Throwable) -> Unit) {
     private class Subscription(val name: String, val period: Duration, val action: (Moment) -> Unit) {
         var due: Moment? = null
     }
@@ -24,7 +25,13 @@
 
     /** Runs every action that is due at [now]. */
     fun advance(now: Moment) {
-        due(now).forEach { it.action(now) }
+        for (subscription in due(now)) {
+            try {
+                subscription.action(now)
+            } catch (e: Throwable) {
+                onFailure(subscription.name, e)
+            }
+        }
     }
 
     /** Earliest due time: null if there are no subscriptions, [now] if an action has never run. */
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/Daemon.kt
@@ -17,6 +17,7 @@
 import io.mimosatrail.daemon.host.Host
 import io.mimosatrail.daemon.host.MessageRouter
 import io.mimosatrail.daemon.host.driveTimers
+import io.mimosatrail.daemon.host.logTimerFailure
 import io.mimosatrail.daemon.http.serveHttp
 import io.mimosatrail.daemon.membership.InstanceWatcher
 import io.mimosatrail.daemon.role.EntryRole
@@ -44,7 +45,7 @@
 class Daemon(private val settings: DaemonSettings) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = systemClock
-    private val timers = TimerService()
+    private val timers = TimerService(::logTimerFailure)
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val messages = MessageRouter()
     private val store = budgetedStore(HttpStore(settings.store)::invoke, meters = meters, clock = clock)
--- a/daemon/src/main/kotlin/io/mimosatrail/daemon/host/TimerLoop.kt
+++ b/daemon/src/main/kotlin/io/mimosatrail/daemon/host/TimerLoop.kt
@@ -3,7 +3,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.mimosatrail.core.time.Clock
 import io.mimosatrail.core.time.TimerService
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -15,17 +14,15 @@
 private val longestSleep = 20.milliseconds
 private val shortestSleep = 1.milliseconds
 
+/** Logs that the action of the timer [name] threw [cause]. */
+internal fun logTimerFailure(name: String, cause: Throwable) =
+    log.error(cause) { "timers: the timer '$name' failed: ${cause.message}" }
+
 /** Advances [timers] with the time of [clock] until this scope is cancelled. */
 internal fun CoroutineScope.driveTimers(timers: TimerService, clock: Clock) {
     launch {
         while (isActive) {
-            try {
-                timers.advance(clock())
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                log.error(e) { "timers: a timer failed: ${e.message}" }
-            }
+            timers.advance(clock())
             delay(sleepTime(timers, clock))
         }
     }
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/config/ConfigFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/config/ConfigFollowerTest.kt
@@ -101,7 +101,7 @@
 /** Followers that exchange messages in memory. */
 private class FakeFleet(private val store: FakeStore) {
     private val scope = CoroutineScope(Job() + Dispatchers.Default)
-    private val timers = TimerService()
+    private val timers = TimerService { _, cause -> throw cause }
     private val routers = ConcurrentHashMap<PeerAddress, MessageRouter>()
     private val followers = ConcurrentHashMap<InstanceId, ConfigFollower>()
 
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/EntryFixture.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/EntryFixture.kt
@@ -46,7 +46,7 @@
 /** A host with a manual clock, whose coroutines run unconfined. */
 internal class EntryFixture(val self: InstanceEntry = instance("entry", InstanceRole.ENTRY, 1)) {
     val peers = FakePeers()
-    val timers = TimerService()
+    val timers = TimerService { _, cause -> throw cause }
     var now = Moment(0)
     var instances = listOf(self)
     var configuration = Configuration()
--- a/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
+++ b/daemon/src/test/kotlin/io/mimosatrail/daemon/entry/front/EntryFrontTest.kt
@@ -92,7 +92,7 @@
     private val host = Host(
         self = self,
         clock = systemClock,
-        timers = TimerService(),
+        timers = TimerService { _, cause -> throw cause },
         scope = CoroutineScope(SupervisorJob() + Dispatchers.Default),
         peers = PeerNode(peerSettings, { ConfigRevision(1) }) { _, _ -> null },
         store = { StoreReply.NotDone("no store in this test") },
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -31,6 +31,7 @@
 import io.mimosatrail.gateway.gossip.LoadMessage
 import io.mimosatrail.gateway.gossip.UpstreamObservations
 import io.mimosatrail.gateway.log.logEvent
+import io.mimosatrail.gateway.log.logFailure
 import io.mimosatrail.gateway.log.logProblem
 import io.mimosatrail.gateway.net.ConnectionPool
 import io.mimosatrail.gateway.net.ControlClient
@@ -62,7 +63,7 @@
     private val group = NioEventLoopGroup(1, DefaultThreadFactory("gateway", true))
     private val loop = group.next()
     private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failureHandler)
-    private val timers = TimerService()
+    private val timers = TimerService(::logFailure)
     private val pool = ConnectionPool(loop, clock)
     private val ports = makePorts(ControlClient(pool, loop))
     private val registry = UpstreamRegistry(settings.heartbeat)
