--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -90,14 +90,16 @@
     }
 }
 
+private val requestId = RequestId("r")
+
 /** Headers without a meaning, but for a refusal, which has the header `not-run`. */
 private object PlainHeaders : HeaderCodec {
-    override fun readRequest(headers: HttpHeaders) = RequestFields(RequestId("r"), null, null, null, null, null, null)
+    override fun readRequest(headers: HttpHeaders) = RequestFields(requestId, null, null, null, null, null, null)
 
     override fun writeUpstreamRequest(headers: HttpHeaders, fields: UpstreamRequestFields) = Unit
 
     override fun readResponse(headers: HttpHeaders) =
-        ResponseFields(null, isSealed = true, hasNotRun = headers.contains("not-run"), null, null)
+        ResponseFields(requestId, isSealed = true, hasNotRun = headers.contains("not-run"), null, null)
 }
 
 /** Forwards resumable streams to the engines at [addresses], each of which holds all layers of the model. */
