Do not take the answer to a request for the answer to a control call

An order could count as refused or accepted, and an upstream as unhealthy or responsive, when its runner wrote an earlier answer or refusal once more: control calls use the same kept connections as requests, and any answer was taken.

Change: control calls have no request id, so an answer that has one is the answer to a request. The call counts as lost (an order may then have been accepted) and its connection is closed. Answers to earlier control calls have no id either and can still not be told from later ones.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
@@ -21,7 +21,10 @@
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 
-/** An HTTP call to the store, or to the control interface of [upstream], which is null for the store. */
+/**
+ * An HTTP call to the store, or to the control interface of [upstream], which is null for the store. [isAnswer] is false
+ * for headers, by their lower-case names, that show that an answer belongs to another request.
+ */
 class ControlCall(
     val address: PeerAddress,
     val method: String,
@@ -29,6 +32,7 @@
     val body: ByteArray? = null,
     val upstream: InstanceId? = null,
     val headers: Map<String, String> = emptyMap(),
+    val isAnswer: (headers: Map<String, String>) -> Boolean = { true },
 )
 
 /** Sends control calls over pooled connections. Runs on [loop]. */
@@ -72,6 +76,9 @@
         override fun onHead(head: HttpResponse) {
             status = head.status().code()
             headers = head.headers().associate { (name, value) -> name.lowercase() to value }
+            if (call.isAnswer(headers)) return
+            connection?.abort()
+            end(HttpResult.Lost("the answer belongs to another request"))
         }
 
         override fun onBody(part: ByteBuf) {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/net/ControlClientTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/net/ControlClientTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.mimosatrail.core.net.HttpResult
@@ -40,4 +41,24 @@
                 }
             }
         }
+
+        // Guards against an order that counts as refused, or an upstream as down, since an earlier refusal came late.
+        test("a call does not take the answer to another request, and its connection is not used again") {
+            val answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            val refusal = "HTTP/1.1 503 Busy\r\nRequest: 9c41\r\nContent-Length: 0\r\n\r\n"
+            var connections = 0
+            RawServer { socket ->
+                val isFirst = ++connections == 1
+                socket.readRequest()
+                socket.send(if (isFirst) refusal + answer else answer)
+                socket.readRequest()
+            }.use { server ->
+                val loop = group.next()
+                val client = ControlClient(ConnectionPool(loop, systemClock), loop)
+                val call = ControlCall(server.address, "POST", "/order", isAnswer = { "request" !in it })
+                val results = withContext(loop.asCoroutineDispatcher()) { List(2) { client.send(call, 2.seconds) } }
+                results[0].shouldBeInstanceOf<HttpResult.Lost>()
+                results[1].shouldBeInstanceOf<HttpResult.Answered>().status shouldBe 200
+            }
+        }
     })
