--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ControlClient.kt
@@ -22,8 +22,8 @@
 import kotlin.time.Duration
 
 /**
- * An HTTP call to the store, or to the control interface of [upstream], which is null for the store. [isAnswer] is false
- * for headers, by their lower-case names, that show that an answer belongs to another request.
+ * An HTTP call to the store, or to the control interface of [upstream], which is null for the store. [isAnswer] is
+ * false for headers, by their lower-case names, that show that an answer belongs to another request.
  */
 class ControlCall(
     val address: PeerAddress,
