Wait at a planned stop for every request that was read

A planned stop waited for forwarded requests only. A response that was written but not yet received, and a request that waited for the first configuration, ended without a complete response when the entry stopped.

The stop now waits for the requests of the caller connections themselves, from when they have been read in full until their response has been sent. Requests that wait for the configuration are refused as soon as the entry refuses new ones. The stop also waits, within the reserved part of the grace period, until the event loop has ended, so that a request read in its last turn gets its refusal before the process exits.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -183,8 +183,9 @@
     }
 
     /**
-     * Performs a planned stop: turns readiness off, refuses new requests after [NOT_READY_NOTICE], and waits for those
-     * in flight. Returns within the grace period; the process may exit then. A second call does nothing.
+     * Performs a planned stop: turns readiness off, refuses new requests after [NOT_READY_NOTICE], and waits until all
+     * that were read are answered. Returns within the grace period; the process may exit then. A second call does
+     * nothing.
      */
     fun stop() {
         if (loop.isShuttingDown) return
@@ -192,17 +193,18 @@
         onLoop {
             isStopping = true
             front.isStopping = true
-            logEvent("gateway", "stopping", "in-flight" to inFlight.size)
+            logEvent("gateway", "stopping", "in-flight" to front.openRequests)
         }
         while (clock() - startedAt < settings.grace - STOP_MARGIN) {
             val waited = clock() - startedAt
             if (waited >= NOT_READY_NOTICE) onLoop { isRefusing = true }
-            if (waited >= NOT_READY_NOTICE && onLoop { inFlight.size } == 0) break
+            if (waited >= NOT_READY_NOTICE && onLoop { front.openRequests } == 0) break
             Thread.sleep(STOP_POLL.inWholeMilliseconds)
         }
-        logEvent("gateway", "stopped", "cut" to onLoop { inFlight.size })
+        logEvent("gateway", "stopped", "cut" to onLoop { front.openRequests })
         scope.cancel()
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+        // Requests that are read in the last turn of the event loop are refused before it closes the connections.
+        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).await(SHUTDOWN_MILLIS)
     }
 
     private fun onPeerMessage(message: LoadMessage) {
@@ -264,6 +266,9 @@
         val NOT_READY_NOTICE = 2_200.milliseconds
         val STOP_POLL = 50.milliseconds
 
+        /** Limit on the time in which the event loop ends; part of [STOP_MARGIN]. */
+        const val SHUTDOWN_MILLIS = 100L
+
         /** Part of the grace period that is reserved for the exit of the process. */
         val STOP_MARGIN = 700.milliseconds
 
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRouter.kt
@@ -38,13 +38,14 @@
         waiting.addLast(caller)
     }
 
-    /** Serves waiting requests once the state is loaded or they have waited long enough. */
+    /** Serves waiting requests once the state is loaded, they have waited long enough or the entry refuses requests. */
     fun tick(now: Moment) {
-        while (waiting.isNotEmpty() && (isStateLoaded() || now - waiting.first().receivedAt > MAX_STARTUP_WAIT)) {
-            route(waiting.removeFirst())
-        }
+        while (waiting.isNotEmpty() && !mayWait(waiting.first(), now)) route(waiting.removeFirst())
     }
 
+    private fun mayWait(caller: Caller, now: Moment): Boolean =
+        !isStateLoaded() && !isStopping() && now - caller.receivedAt <= MAX_STARTUP_WAIT
+
     private fun route(caller: Caller) {
         val fields = context.headers.readRequest(caller.request.headers())
         val current = configuration()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontConnection.kt
@@ -42,6 +42,12 @@
     /** True once the connection closes after the current response or at once; further requests are not served. */
     private var isClosing = false
 
+    /** Responses that have ended but are still being sent. */
+    private var unsentResponses = 0
+
+    /** Number of requests that were read in full and whose response has not been sent in full. */
+    val openRequests: Int get() = waiting.size + unsentResponses + if (current == null) 0 else 1
+
     /** When bytes were last read or written, as far as is known. */
     private var idleSince: Moment = clock()
 
@@ -188,7 +194,8 @@
 
         private fun end(last: Any) {
             release()
-            val write = context.writeAndFlush(last)
+            unsentResponses++
+            val write = context.writeAndFlush(last).addListener { unsentResponses-- }
             idleSince = clock()
             idleTimeout = limits().idleTimeout
             if (isClosing) write.addListener(ChannelFutureListener.CLOSE) else serveNext()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/front/FrontServer.kt
@@ -26,6 +26,9 @@
     /** True while the server stops: it still serves requests, but closes each connection once all are answered. */
     var isStopping = false
 
+    /** Number of requests that were read in full and whose response has not been sent in full. */
+    val openRequests: Int get() = connections.sumOf { it.openRequests }
+
     /** Binds [address] and returns when the server listens. Throws an `IOException` if [address] cannot be bound. */
     fun listen(address: PeerAddress) = listen(bindFront(address))
 
