Shorten the budget's window in StreamRetryBudgetTest

The breaks of the six were spread over more than a tenth of a second there, so that the window of 1 s had not moved for the last one within the 1.2 s that a stream may wait.

Change: a window of 400 ms. The expectation, the number of streams and that of the retries are the same.

--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StreamRetryBudgetTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StreamRetryBudgetTest.kt
@@ -7,6 +7,7 @@
 import io.mimosatrail.gateway.net.readRequest
 import io.mimosatrail.gateway.net.send
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
@@ -24,8 +25,8 @@
                     socket.send(HEAD + if (isFirst) "id: 1\ndata: x\n\nid: 2\nda" else "id: 2\ndata: x\n\n")
                 }
             }
-            // Four retries a second for streams that would be cut.
-            val fixture = ForwardFixture(engines.map { it.address }, retrySlack = 6.0, retryWindow = 1.seconds)
+            // Four retries in a window that is much shorter than a stream may wait.
+            val fixture = ForwardFixture(engines.map { it.address }, retrySlack = 6.0, retryWindow = 400.milliseconds)
             val responses = List(STREAMS) { fixture.stream() }
             eventually(3.seconds) { responses.forEach { (it.isComplete || it.isCut) shouldBe true } }
             responses.count { it.isComplete } shouldBe STREAMS
