Do not take an upstream that is not being read for silent

A caller that received nothing for two seconds made the entry send its stream to a second upstream, although the first one went on: the second send used up a retry and one of the runs that the route allows. Such streams also counted as silent for the engines on their path, and moved at once to another engine when one on their path was reported as down.

Cause: while the caller is slow, the entry stops reading from the upstream, and measured the time since the last event as silence of the upstream.

An exchange that is not read now has no silence; it is measured anew from the moment at which reading goes on. It is no activity either, as nothing shows that its engines are up.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -81,9 +81,14 @@
     /** Time since the upstream last sent anything. */
     fun silence(now: Moment): Duration = exchange.silence(now)
 
-    /** Activity of the stream, or null if it has no path, or has sent no event since it was sent or redirected. */
-    fun streamActivity(now: Moment): StreamActivity? =
-        if (isRedirecting || target.path.isEmpty() || !exchange.isProducing) null else exchange.streamActivity(now)
+    /**
+     * Activity of the stream, or null if it has no path, is not being read, or has sent no event since it was sent or
+     * redirected.
+     */
+    fun streamActivity(now: Moment): StreamActivity? {
+        val isMeasured = exchange.isProducing && !exchange.isPaused && !isRedirecting && target.path.isNotEmpty()
+        return if (isMeasured) exchange.streamActivity(now) else null
+    }
 
     /** Pauses or resumes reading the answer. */
     fun setReading(isReading: Boolean) = exchange.setReading(isReading)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -75,6 +75,10 @@
     var isProducing = false
         private set
 
+    /** True while nothing is read since the caller receives more slowly than the upstream sends. */
+    var isPaused = false
+        private set
+
     /** True once bytes of the request may have been sent. */
     val isSent: Boolean get() = connection != null
 
@@ -91,8 +95,11 @@
     /** Activity of a stream over the target's path. */
     fun streamActivity(now: Moment): StreamActivity = StreamActivity(target.upstreamIds, silence(now))
 
-    /** Time since the upstream last sent anything, or since the request was sent or redirected. */
-    fun silence(now: Moment): Duration = now - lastActivity
+    /**
+     * Time since the upstream last sent anything, or since the request was sent or redirected. Zero while nothing is
+     * read: the upstream may be sending.
+     */
+    fun silence(now: Moment): Duration = if (isPaused) Duration.ZERO else now - lastActivity
 
     /** True if the upstream has been silent for longer than expected. */
     fun isSilent(now: Moment): Boolean = isSent && silence(now) > silenceLimit()
@@ -108,7 +115,10 @@
 
     /** Stops or resumes reading the response, for a caller that receives more slowly than the upstream sends. */
     fun setReading(isReading: Boolean) {
-        connection?.setReading(isReading)
+        val open = connection ?: return
+        if (isPaused && isReading) lastActivity = context.clock()
+        isPaused = !isReading
+        open.setReading(isReading)
     }
 
     /** Ends the send without calling [callbacks]. */
@@ -217,7 +227,7 @@
         }
         if (hasUnplacedEvent) return fail(SendEnd.GARBLED, "the stream continues with an event without an id")
         if (splitter.isOverlong) return fail(SendEnd.GARBLED, "the stream contains bytes that are no event")
-        if (!response.isWritable) connection?.setReading(false)
+        if (!response.isWritable) setReading(false)
     }
 
     /** False if [event] can't be told from one that the caller has. */
@@ -268,7 +278,7 @@
 
     private fun relay(bytes: ByteBuf) {
         response.sendBytes(bytes.copy())
-        if (!response.isWritable) connection?.setReading(false)
+        if (!response.isWritable) setReading(false)
     }
 
     private fun finishBuffer() {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -17,6 +17,7 @@
 import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
+import io.mimosatrail.core.stall.StreamActivity
 import io.mimosatrail.core.time.systemClock
 import io.mimosatrail.gateway.follow.RegisteredEntries
 import io.mimosatrail.gateway.front.Caller
@@ -47,8 +48,11 @@
 private const val LAYERS = 80
 private const val TICK_MILLIS = 20L
 
-/** A caller's response as text. All fields are written on the event loop. */
-internal class RecordedResponse : ResponseWriter {
+/**
+ * A caller's response as text. All fields are written on the event loop. While [isWritable] is false, the caller receives
+ * more slowly than is written.
+ */
+internal class RecordedResponse(override var isWritable: Boolean = true) : ResponseWriter {
     private val text = StringBuffer()
     val body: String get() = text.toString()
 
@@ -64,8 +68,6 @@
     var isCut = false
         private set
 
-    override val isWritable = true
-
     override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         begin(status, headers)
         write(body)
@@ -116,6 +118,7 @@
     private val entries = RegisteredEntries(1, emptySet(), emptyList())
     private val records = addresses.mapIndexed { index, address -> engineRecord("e$index").copy(address = address) }
     private val inFlight = InFlightTable()
+    private val callers = HashMap<RecordedResponse, Caller>()
     private val context = ForwardContext(
         clock = systemClock,
         place = PlaceId("umea"),
@@ -142,12 +145,12 @@
         loop.scheduleAtFixedRate({ inFlight.tick(systemClock()) }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** Forwards a request for a stream. */
-    fun stream(): RecordedResponse {
-        val response = RecordedResponse()
+    /** Forwards a request for a stream, whose response is [response]. */
+    fun stream(response: RecordedResponse = RecordedResponse()): RecordedResponse {
         onLoop {
             val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/stream/x")
             val caller = Caller(request, systemClock(), response)
+            callers[response] = caller
             val fields = PlainHeaders.readRequest(request.headers())
             val call = RoutedCall(caller, fields, streamRoute, null, service, 1)
             ForwardedRequest(call, PathTargetChooser(call, profile, context), context).start()
@@ -155,6 +158,17 @@
         return response
     }
 
+    /** The caller of [response] receives all that has been written. */
+    fun resume(response: RecordedResponse) = onLoop {
+        response.isWritable = true
+        callers.getValue(response).onWritable()
+    }
+
+    /** Activity of the open streams. */
+    fun activities(): List<StreamActivity> = loop.submit<List<StreamActivity>> {
+        inFlight.streamActivities(systemClock())
+    }.get()
+
     /** Receives the report of another entry that the engine number [index] is down. */
     fun onReportedDown(index: Int) = onLoop {
         traffic.onReportedDown(records[index].id, systemClock())
