Do not report an engine as down for lack of a connection of this entry

Streams of all entries were moved away from a sound engine, or sent again, and the engine got no requests for a second and more, as soon as one entry used up its own share of the engine's connections: with many entries that share is one connection.

Cause: a lease that fails since all connections of this entry are in use was treated like a failed connect. The engine was ejected and reported to the other entries as down.

A failed lease now says whether it shows that the upstream is unreachable. The request still goes to another upstream in either case.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -16,7 +16,7 @@
 /** Receives what happens to an [Attempt]. */
 internal interface AttemptListener {
     /** There was no connection, so nothing was sent. */
-    fun onNotConnected(attempt: Attempt, detail: String)
+    fun onNotConnected(attempt: Attempt, lease: Lease.Failed)
 
     /** True if [connection] can carry the attempt. */
     fun isSuitable(connection: UpstreamConnection): Boolean
@@ -188,14 +188,14 @@
 
     private fun onLease(lease: Lease) {
         when (lease) {
-            is Lease.Failed -> if (!isEnded) onNotConnected(lease.detail)
+            is Lease.Failed -> if (!isEnded) onNotConnected(lease)
             is Lease.Ready -> if (isEnded) context.pool.release(lease.connection) else send(lease)
         }
     }
 
-    private fun onNotConnected(detail: String) {
+    private fun onNotConnected(lease: Lease.Failed) {
         release()
-        listener.onNotConnected(this, detail)
+        listener.onNotConnected(this, lease)
     }
 
     private fun send(lease: Lease.Ready) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -9,6 +9,7 @@
 import io.mimosatrail.core.stall.StreamActivity
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.log.logEvent
+import io.mimosatrail.gateway.net.Lease
 import io.mimosatrail.gateway.net.UpstreamConnection
 import io.mimosatrail.gateway.wire.OrderOutcome
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -136,15 +137,15 @@
     private fun waitingBefore(): Int =
         context.inFlight.count { it !== this && it.noTargetSince != null && it.call.service.id == call.service.id }
 
-    override fun onNotConnected(attempt: Attempt, detail: String) {
+    override fun onNotConnected(attempt: Attempt, lease: Lease.Failed) {
         attempts -= attempt
         val upstream = attempt.target.upstream.id
-        context.traffic.onDetectedDown(upstream, context.clock())
+        if (lease.isUnreachable) context.traffic.onDetectedDown(upstream, context.clock())
         unreachable += upstream
         failedConnects++
-        log("not-connected", attempt, "detail" to detail)
+        log("not-connected", attempt, "detail" to lease.detail)
         if (attempts.isNotEmpty()) return
-        if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(refusals.busy(detail))
+        if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(refusals.busy(lease.detail))
     }
 
     override fun onSending(attempt: Attempt, connection: UpstreamConnection) {
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/net/ConnectionPool.kt
@@ -22,8 +22,8 @@
     /** [connection] can carry one request. */
     data class Ready(val connection: UpstreamConnection) : Lease
 
-    /** There is no connection, so nothing was sent. */
-    data class Failed(val detail: String) : Lease
+    /** There is no connection, so nothing was sent. This shows that the upstream is unreachable if [isUnreachable]. */
+    data class Failed(val detail: String, val isUnreachable: Boolean) : Lease
 }
 
 /** Keeps idle connections and reuses the most recently used one first. Confined to [loop]. */
@@ -59,7 +59,7 @@
         takeIdle(target, isSuitable)?.let { return onResult(Lease.Ready(it)) }
         if (target.openCount >= maxConnections) {
             val replaced = target.idle.removeFirstOrNull()
-                ?: return onResult(Lease.Failed("all $maxConnections connections are in use"))
+                ?: return onResult(Lease.Failed("all $maxConnections connections are in use", isUnreachable = false))
             replaced.abort()
         }
         connect(key, target, onResult)
@@ -100,7 +100,11 @@
             .addListener { future ->
                 if (!future.isSuccess) target.openCount--
                 onResult(
-                    if (future.isSuccess) Lease.Ready(connection) else Lease.Failed(describe(future as ChannelFuture)),
+                    if (future.isSuccess) {
+                        Lease.Ready(connection)
+                    } else {
+                        Lease.Failed(describe(future as ChannelFuture), isUnreachable = true)
+                    },
                 )
             }
     }
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -109,6 +109,7 @@
     addresses: List<PeerAddress>,
     retrySlack: Double = 100.0,
     retryWindow: Duration = 10.seconds,
+    maxConnections: Int = 40,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -118,6 +119,7 @@
     private val entries = RegisteredEntries(1, emptySet(), emptyList())
     private val records = addresses.mapIndexed { index, address -> engineRecord("e$index").copy(address = address) }
     private val inFlight = InFlightTable()
+    private val service = FrontService(engineRecord("any").service, maxConnections, "/health", profile)
     private val callers = HashMap<RecordedResponse, Caller>()
     private val context = ForwardContext(
         clock = systemClock,
@@ -169,6 +171,12 @@
         inFlight.streamActivities(systemClock())
     }.get()
 
+    /** Engines that this entry reports to others as down, by their number. */
+    fun detectedDown(): List<Int> = loop.submit<List<Int>> {
+        val down = traffic.detectedDown(systemClock())
+        records.indices.filter { records[it].id in down }
+    }.get()
+
     /** Receives the report of another entry that the engine number [index] is down. */
     fun onReportedDown(index: Int) = onLoop {
         traffic.onReportedDown(records[index].id, systemClock())
@@ -201,13 +209,12 @@
             fullLoadTime = 1.seconds,
             kinds = mapOf(AcceleratorKind("l4") to AcceleratorProfile(20_000.0, 1.0, 1.0)),
         )
-        val service = FrontService(engineRecord("any").service, 40, "/health", profile)
         val streamRoute = HostRoute(
             name = "stream",
             host = "h",
             prefix = "/stream/",
             kind = RouteKind.STREAMING,
-            split = listOf(WeightedService(service.id, 1.0)),
+            split = listOf(WeightedService(engineRecord("any").service, 1.0)),
             timeout = 20.seconds,
             target = 600.milliseconds,
             gapTarget = 300.milliseconds,
