Do not report an engine as down for a report that a late entry missed

Streams of all entries through an engine were moved away or sent again although the engine was up: an entry that was busy itself had not read the engine's report in time.

Cause: StallSearch took the first engine of silent streams for down if its report did not arrive within a time limit, however late this process was. StallWatch had the same fault and measured its own lateness.

TickIntervals now keeps the recent ticks of the event loop for both. A report that did arrive counts as before.

Evidence: without the check the cases "101ms late, with no report" and "800ms late, with no report" of StallSearchTest fail: expected:<[]> but was:<[first]>.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import io.mimosatrail.gateway.forward.InFlightTable
 import io.mimosatrail.gateway.forward.RequestRouter
 import io.mimosatrail.gateway.forward.StallWatch
+import io.mimosatrail.gateway.forward.TickIntervals
 import io.mimosatrail.gateway.forward.UpstreamLimits
 import io.mimosatrail.gateway.forward.UpstreamState
 import io.mimosatrail.gateway.front.Caller
@@ -161,6 +162,7 @@
         gossip.listen(settings.gossip)
         timers.every("load gossip", LoadGossip.PERIOD, gossip::send)
         context.onEngineDetectedDown = { gossip.send(clock()) }
+        timers.every("tick intervals", TickIntervals.PERIOD, context.tickIntervals::tick)
         timers.every("event loop", StallWatch.PERIOD, EventLoopMonitor(inFlight::size)::tick)
         timers.every("stalls", StallWatch.PERIOD, context.stallWatch::tick)
         timers.every("quarantine", QUARANTINE_TICK) { context.crashWatch.tick(it, quarantineKeeper::save) }
@@ -170,7 +172,7 @@
         loop.scheduleAtFixedRate(
             { timers.advance(clock()) },
             0,
-            StallWatch.PERIOD.inWholeMilliseconds,
+            TickIntervals.PERIOD.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
         ports.timelines.onRestored(::onStoreRestored)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -34,6 +34,7 @@
     val balancer = PlainBalancer(traffic, place)
     val linkBudget = LinkBudget()
     val failedSearches = FailedSearchCache()
+    val tickIntervals = TickIntervals(clock)
     val refusalWatch = RefusalWatch(
         registry,
         traffic,
@@ -46,8 +47,17 @@
         scope,
     )
     val crashWatch = CrashWatch(engines, quarantine, clock, scope)
-    val stallSearch = StallSearch(engines, registry, traffic, clock, scope, ::onEngineDown)
-    val stallWatch = StallWatch(registry, traffic, engines, inFlight::streamActivities, clock, scope, ::onEngineDown)
+    val stallSearch = StallSearch(engines, registry, traffic, clock, tickIntervals, scope, ::onEngineDown)
+    val stallWatch = StallWatch(
+        registry,
+        traffic,
+        engines,
+        inFlight::streamActivities,
+        clock,
+        tickIntervals,
+        scope,
+        ::onEngineDown,
+    )
 
     /** Called when this process itself has detected that an engine is down. */
     var onEngineDetectedDown: () -> Unit = {}
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallSearch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallSearch.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Finds the stalled engine behind silent streams, by asking the first engine of their path which engines it waits for.
@@ -21,6 +22,7 @@
     private val registry: UpstreamRegistry,
     private val traffic: UpstreamTraffic,
     private val clock: Clock,
+    private val tickIntervals: TickIntervals,
     private val scope: CoroutineScope,
     private val onDown: (InstanceId) -> Unit,
 ) {
@@ -41,7 +43,10 @@
     }
 
     private suspend fun search(first: UpstreamRecord) {
-        for (engine in stalledEngines(first, engines.report(first))) {
+        val askedAt = clock()
+        val report = engines.report(first)
+        if (report == null && tickIntervals.longest(askedAt) > MAX_TICK_INTERVAL) return
+        for (engine in stalledEngines(first, report)) {
             if (!traffic[engine].isPresumedDown(clock())) {
                 logProblem("forward", "engine-down", "engine" to engine, "reported-by" to first.id)
                 traffic.onDetectedDown(engine, clock())
@@ -58,4 +63,9 @@
             .filter { engine -> report.stalled.any { it.id == engine.id || it.address == engine.address } }
             .map { it.id }
     }
+
+    private companion object {
+        /** After a longer interval between two ticks, a report may have arrived and not been read in time. */
+        val MAX_TICK_INTERVAL = 100.milliseconds
+    }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallWatch.kt
@@ -15,7 +15,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.launch
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -29,6 +28,7 @@
     private val engines: EngineControl,
     private val streamActivities: (Moment) -> List<StreamActivity>,
     private val clock: Clock,
+    private val tickIntervals: TickIntervals,
     private val scope: CoroutineScope,
     private val onDown: (InstanceId) -> Unit,
 ) {
@@ -36,9 +36,6 @@
     private val lastProbes = HashMap<InstanceId, Moment>()
     private var lastTick: Moment? = null
 
-    /** Longest interval between two ticks since the last probe began. */
-    private var longestInterval = Duration.ZERO
-
     /**
      * Checks the open streams and probes suspected engines. Does nothing if the previous tick was too long ago: the
      * process itself was paused then, and the silence of its streams says nothing about engines.
@@ -47,7 +44,6 @@
         val interval = lastTick?.let { now - it }
         lastTick = now
         if (interval == null) return
-        longestInterval = maxOf(longestInterval, interval)
         if (interval >= MAX_TICK_INTERVAL) return
         val due = detector.findSuspects(streamActivities(now))
             .filter { lastProbes[it]?.let { at -> now - at >= PROBE_INTERVAL } ?: true }
@@ -55,22 +51,20 @@
         if (due.isEmpty()) return
         lastProbes.values.removeIf { now - it >= PROBE_INTERVAL }
         due.forEach { lastProbes[it.id] = now }
-        longestInterval = Duration.ZERO
-        scope.launch { probe(due) }
+        scope.launch { probe(due, now) }
     }
 
     /**
-     * Probes all of [due]. Silent ones are down only if this process still receives data from other engines, was on time
-     * throughout the probe, and no stream through them has continued meanwhile.
+     * Probes all of [due]. Silent ones are down only if this process still receives data from other engines, was on
+     * time since [startedAt], and no stream through them has continued meanwhile.
      */
-    private suspend fun probe(due: List<UpstreamRecord>) {
+    private suspend fun probe(due: List<UpstreamRecord>, startedAt: Moment) {
         val results = due.map { engine ->
             scope.async { engine to engines.isResponsive(engine, PROBE_TIMEOUT) }
         }.awaitAll()
         val silent = results.filterNot { it.second }.map { it.first }
-        val now = clock()
-        val activities = streamActivities(now)
-        val longestTick = maxOf(longestInterval, lastTick?.let { now - it } ?: Duration.ZERO)
+        val activities = streamActivities(clock())
+        val longestTick = tickIntervals.longest(startedAt)
         val isReceiving = silent.size < due.size || detector.isReceiving(activities)
         logEvent(
             "stalls",
@@ -93,7 +87,7 @@
 
     companion object {
         /** Interval of [tick]: a fraction of the silence that makes an engine suspect. */
-        val PERIOD = 20.milliseconds
+        val PERIOD = TickIntervals.PERIOD
 
         /** A longer interval between two ticks means that the process was paused. */
         private val MAX_TICK_INTERVAL = 60.milliseconds
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallSearchTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallSearchTest.kt
@@ -1,6 +1,7 @@
 package io.mimosatrail.gateway.forward
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
@@ -11,6 +12,8 @@
 import io.mimosatrail.gateway.wire.EngineReport
 import io.mimosatrail.gateway.wire.StalledEngine
 import kotlinx.coroutines.coroutineScope
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val STREAMS = 80
 
@@ -20,12 +23,24 @@
 private fun reportOf(vararg stalled: StalledEngine) =
     EngineReport(layers = null, isBusy = false, orders = 0, slowness = 1.0, stalled = stalled.toList())
 
-/** Runs a search for each of [STREAMS] streams that begin at [first], and adds the engines found down to [down]. */
-private suspend fun search(report: EngineReport?, down: MutableList<InstanceId>): FakeEngines {
-    val engines = FakeEngines { report }
+/**
+ * Runs a search for each of [STREAMS] streams that begin at [first], and adds the engines found down to [down]. The
+ * process is [late] while it waits for the report.
+ */
+private suspend fun search(
+    report: EngineReport?,
+    down: MutableList<InstanceId>,
+    late: Duration = Duration.ZERO,
+): FakeEngines {
+    var now = Moment(0)
+    val ticks = TickIntervals { now }.also { it.tick(now) }
+    val engines = FakeEngines {
+        now += late
+        report
+    }
     val registry = UpstreamRegistry().also { it.onListing(listOf(first, lost), Moment(0)) }
     coroutineScope {
-        val search = StallSearch(engines, registry, UpstreamTraffic(), { Moment(0) }, this) { down += it }
+        val search = StallSearch(engines, registry, UpstreamTraffic(), { now }, ticks, this) { down += it }
         repeat(STREAMS) { search.run(first) {} }
     }
     return engines
@@ -51,6 +66,22 @@
             down shouldContainExactly listOf(first.id)
         }
 
+        // Guards against an entry that is busy itself and makes all entries give up streams of healthy engines.
+        context("while the process is late, no report says nothing, but a report counts") {
+            data class Case(val late: Duration, val report: EngineReport?, val down: List<InstanceId>)
+            withData(
+                nameFn = { case: Case -> "${case.late} late, with ${if (case.report == null) "no" else "a"} report" },
+                Case(100.milliseconds, null, listOf(first.id)),
+                Case(101.milliseconds, null, emptyList()),
+                Case(800.milliseconds, null, emptyList()),
+                Case(800.milliseconds, reportOf(StalledEngine(lost.id, null)), listOf(lost.id)),
+            ) { case ->
+                val down = mutableListOf<InstanceId>()
+                search(case.report, down, case.late)
+                down shouldContainExactly case.down
+            }
+        }
+
         test("a report without stalled engines reports none as down") {
             val down = mutableListOf<InstanceId>()
             search(reportOf(), down)
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallWatchTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallWatchTest.kt
@@ -42,9 +42,11 @@
     var now = Moment(0)
     val activitiesNow = { _: Moment -> activities(control.probed.size) }
     coroutineScope {
-        val watch = StallWatch(registry, UpstreamTraffic(), control, activitiesNow, { now }, this) { down += it }
+        val ticks = TickIntervals { now }
+        val watch = StallWatch(registry, UpstreamTraffic(), control, activitiesNow, { now }, ticks, this) { down += it }
         for (time in times) {
             now = Moment(0) + time.milliseconds
+            ticks.tick(now)
             watch.tick(now)
             now += late
             repeat(YIELDS) { yield() }
