Probe an engine again if this entry was late while it looked for a crash

Streams whose engine had only closed a connection were cut instead of being continued at another engine (reason SUSPECTED_PROMPT), and other requests with the same prompt parts could be refused for minutes.

Cause: CrashWatch took an engine for crashed if it gave no answer within 100 ms. An entry that is busy itself misses answers that arrived in time, and passes the evidence to all others.

A probe without an answer now counts only if this process was on time, and is repeated otherwise. An entry that stays late gives no evidence.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CrashWatch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/CrashWatch.kt
@@ -24,6 +24,7 @@
     private val engines: EngineControl,
     private val quarantine: PromptQuarantine,
     private val clock: Clock,
+    private val tickIntervals: TickIntervals,
     private val scope: CoroutineScope,
 ) {
     private val broken = HashMap<EngineCrash, MutableSet<CrashEvidence>>()
@@ -45,16 +46,34 @@
 
     private suspend fun probe(engine: UpstreamRecord, crash: EngineCrash) {
         delay(COLLECTION_TIME)
-        val isResponsive = engines.isResponsive(engine, PROBE_TIMEOUT)
+        val isResponsive = isResponsive(engine)
         val evidence = broken.remove(crash).orEmpty()
         val requests = evidence.distinctBy { it.request }.size
         logEvent("crash", "probed", "engine" to engine.id, "responsive" to isResponsive, "requests" to requests)
         if (!isResponsive) quarantine.onCrash(evidence.toList(), clock())
     }
 
+    /** Probes [engine] again while this process was late, since an answer may not have been read in time then. */
+    private suspend fun isResponsive(engine: UpstreamRecord): Boolean {
+        repeat(MAX_PROBES) {
+            val startedAt = clock()
+            if (engines.isResponsive(engine, PROBE_TIMEOUT)) return true
+            if (tickIntervals.longest(startedAt) <= MAX_TICK_INTERVAL) return false
+            delay(TickIntervals.PERIOD)
+        }
+        // Without a probe on time, nothing shows that it crashed.
+        return true
+    }
+
     private companion object {
         /** All streams of a crashed engine break within this time. */
         val COLLECTION_TIME = 30.milliseconds
         val PROBE_TIMEOUT = 100.milliseconds
+
+        /** A longer interval between two ticks of this process makes a probe without an answer unreliable. */
+        val MAX_TICK_INTERVAL = 50.milliseconds
+
+        /** An entry that is late for longer leaves it to the others to notice the crash. */
+        const val MAX_PROBES = 5
     }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardContext.kt
@@ -46,7 +46,7 @@
         clock,
         scope,
     )
-    val crashWatch = CrashWatch(engines, quarantine, clock, scope)
+    val crashWatch = CrashWatch(engines, quarantine, clock, tickIntervals, scope)
     val stallSearch = StallSearch(engines, registry, traffic, clock, tickIntervals, scope, ::onEngineDown)
     val stallWatch = StallWatch(
         registry,
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -49,8 +49,8 @@
 private const val TICK_MILLIS = 20L
 
 /**
- * A caller's response as text. All fields are written on the event loop. While [isWritable] is false, the caller receives
- * more slowly than is written.
+ * A caller's response as text. All fields are written on the event loop. While [isWritable] is false, the caller
+ * receives more slowly than is written.
  */
 internal class RecordedResponse(override var isWritable: Boolean = true) : ResponseWriter {
     private val text = StringBuffer()
