Let all first sends of StreamRetryBudgetTest arrive before one breaks off

The test failed once in a run of all tests of the module: expected:<6> but was:<5> complete streams. Its servers took the first six requests for first sends, but the second send of a stream that had already broken off could be among them. It was then broken off as well, and the stream cut as the route allows two upstreams. With a pause of 20 ms between the streams the test failed with the same figures; with this change and that pause it passes.

The first sends now wait for each other before they break off. What is checked is unchanged.

--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StreamRetryBudgetTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StreamRetryBudgetTest.kt
@@ -6,6 +6,7 @@
 import io.mimosatrail.gateway.net.RawServer
 import io.mimosatrail.gateway.net.readRequest
 import io.mimosatrail.gateway.net.send
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
@@ -17,10 +18,14 @@
         // Guards against streams that are cut because their engine breaks off more of them than the budget has retries.
         test("streams that break at the same moment continue as soon as the retry budget allows it") {
             val requests = AtomicInteger()
+            // A first send breaks off once all have arrived, so that no later send is taken for a first one.
+            val firstSends = CountDownLatch(STREAMS)
             val engines = List(2) {
                 RawServer { socket ->
                     socket.readRequest()
                     val isFirst = requests.incrementAndGet() <= STREAMS
+                    firstSends.countDown()
+                    firstSends.await()
                     socket.send(HEAD + if (isFirst) "id: 1\ndata: x\n\nid: 2\nda" else "id: 2\ndata: x\n\n")
                 }
             }
