--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -16,7 +16,7 @@
 /** Receives what happens to an [Attempt]. */
 internal interface AttemptListener {
     /** There was no connection, so nothing was sent. */
-    fun onNotConnected(attempt: Attempt, detail: String)
+    fun onNotConnected(attempt: Attempt, lease: Lease.Failed)
 
     /** True if [connection] can carry the attempt. */
     fun isSuitable(connection: UpstreamConnection): Boolean
@@ -81,9 +81,14 @@
     /** Time since the upstream last sent anything. */
     fun silence(now: Moment): Duration = exchange.silence(now)
 
-    /** Activity of the stream, or null if it has no path, or has sent no event since it was sent or redirected. */
-    fun streamActivity(now: Moment): StreamActivity? =
-        if (isRedirecting || target.path.isEmpty() || !exchange.isProducing) null else exchange.streamActivity(now)
+    /**
+     * Activity of the stream, or null if it has no path, is not being read, or has sent no event since it was sent or
+     * redirected.
+     */
+    fun streamActivity(now: Moment): StreamActivity? {
+        val isMeasured = exchange.isProducing && !exchange.isPaused && !isRedirecting && target.path.isNotEmpty()
+        return if (isMeasured) exchange.streamActivity(now) else null
+    }
 
     /** Pauses or resumes reading the answer. */
     fun setReading(isReading: Boolean) = exchange.setReading(isReading)
@@ -183,14 +188,14 @@
 
     private fun onLease(lease: Lease) {
         when (lease) {
-            is Lease.Failed -> if (!isEnded) onNotConnected(lease.detail)
+            is Lease.Failed -> if (!isEnded) onNotConnected(lease)
             is Lease.Ready -> if (isEnded) context.pool.release(lease.connection) else send(lease)
         }
     }
 
-    private fun onNotConnected(detail: String) {
+    private fun onNotConnected(lease: Lease.Failed) {
         release()
-        listener.onNotConnected(this, detail)
+        listener.onNotConnected(this, lease)
     }
 
     private fun send(lease: Lease.Ready) {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -17,6 +17,7 @@
 import io.mimosatrail.core.quarantine.PromptQuarantine
 import io.mimosatrail.core.registry.UpstreamRegistry
 import io.mimosatrail.core.retry.RetryBudgets
+import io.mimosatrail.core.stall.StreamActivity
 import io.mimosatrail.core.time.systemClock
 import io.mimosatrail.gateway.follow.RegisteredEntries
 import io.mimosatrail.gateway.front.Caller
@@ -47,8 +48,11 @@
 private const val LAYERS = 80
 private const val TICK_MILLIS = 20L
 
-/** A caller's response as text. All fields are written on the event loop. */
-internal class RecordedResponse : ResponseWriter {
+/**
+ * A caller's response as text. All fields are written on the event loop. While [isWritable] is false, the caller
+ * receives more slowly than is written.
+ */
+internal class RecordedResponse(override var isWritable: Boolean = true) : ResponseWriter {
     private val text = StringBuffer()
     val body: String get() = text.toString()
 
@@ -64,8 +68,6 @@
     var isCut = false
         private set
 
-    override val isWritable = true
-
     override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         begin(status, headers)
         write(body)
@@ -107,6 +109,7 @@
     addresses: List<PeerAddress>,
     retrySlack: Double = 100.0,
     retryWindow: Duration = 10.seconds,
+    maxConnections: Int = 40,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -116,6 +119,8 @@
     private val entries = RegisteredEntries(1, emptySet(), emptyList())
     private val records = addresses.mapIndexed { index, address -> engineRecord("e$index").copy(address = address) }
     private val inFlight = InFlightTable()
+    private val service = FrontService(engineRecord("any").service, maxConnections, "/health", profile)
+    private val callers = HashMap<RecordedResponse, Caller>()
     private val context = ForwardContext(
         clock = systemClock,
         place = PlaceId("umea"),
@@ -142,12 +147,12 @@
         loop.scheduleAtFixedRate({ inFlight.tick(systemClock()) }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** Forwards a request for a stream. */
-    fun stream(): RecordedResponse {
-        val response = RecordedResponse()
+    /** Forwards a request for a stream, whose response is [response]. */
+    fun stream(response: RecordedResponse = RecordedResponse()): RecordedResponse {
         onLoop {
             val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/stream/x")
             val caller = Caller(request, systemClock(), response)
+            callers[response] = caller
             val fields = PlainHeaders.readRequest(request.headers())
             val call = RoutedCall(caller, fields, streamRoute, null, service, 1)
             ForwardedRequest(call, PathTargetChooser(call, profile, context), context).start()
@@ -155,6 +160,23 @@
         return response
     }
 
+    /** The caller of [response] receives all that has been written. */
+    fun resume(response: RecordedResponse) = onLoop {
+        response.isWritable = true
+        callers.getValue(response).onWritable()
+    }
+
+    /** Activity of the open streams. */
+    fun activities(): List<StreamActivity> = loop.submit<List<StreamActivity>> {
+        inFlight.streamActivities(systemClock())
+    }.get()
+
+    /** Engines that this entry reports to others as down, by their number. */
+    fun detectedDown(): List<Int> = loop.submit<List<Int>> {
+        val down = traffic.detectedDown(systemClock())
+        records.indices.filter { records[it].id in down }
+    }.get()
+
     /** Receives the report of another entry that the engine number [index] is down. */
     fun onReportedDown(index: Int) = onLoop {
         traffic.onReportedDown(records[index].id, systemClock())
@@ -187,13 +209,12 @@
             fullLoadTime = 1.seconds,
             kinds = mapOf(AcceleratorKind("l4") to AcceleratorProfile(20_000.0, 1.0, 1.0)),
         )
-        val service = FrontService(engineRecord("any").service, 40, "/health", profile)
         val streamRoute = HostRoute(
             name = "stream",
             host = "h",
             prefix = "/stream/",
             kind = RouteKind.STREAMING,
-            split = listOf(WeightedService(service.id, 1.0)),
+            split = listOf(WeightedService(engineRecord("any").service, 1.0)),
             timeout = 20.seconds,
             target = 600.milliseconds,
             gapTarget = 300.milliseconds,
