Search behind an engine again after a search that failed

After one unforeseen failure of a search, no lost engine was found any more behind the same first engine: its streams waited until they were silent for too long, and were then sent again instead of redirected.

Cause: the record that a search is running was removed only after a search that succeeded, so all later ones waited for the failed one, which had ended.

The record is now removed however the search ends.

Evidence: before the fix the new case of StallSearchTest fails: expected:<[lost]> but was:<[]>.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallSearch.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/StallSearch.kt
@@ -32,8 +32,11 @@
     fun run(first: UpstreamRecord, onDone: () -> Unit) {
         val search = pending.getOrPut(first.id) {
             scope.launch {
-                search(first)
-                pending -= first.id
+                try {
+                    search(first)
+                } finally {
+                    pending -= first.id
+                }
             }
         }
         scope.launch {
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallSearchTest.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/StallSearchTest.kt
@@ -11,12 +11,19 @@
 import io.mimosatrail.core.time.Moment
 import io.mimosatrail.gateway.wire.EngineReport
 import io.mimosatrail.gateway.wire.StalledEngine
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.supervisorScope
+import kotlinx.coroutines.yield
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val STREAMS = 80
 
+/** More than any search suspends. */
+private const val YIELDS = 20
+
 private val first = engineRecord("first")
 private val lost = engineRecord("lost")
 
@@ -82,6 +89,33 @@
             }
         }
 
+        // Guards against an engine behind which no lost engine is found any more after one search has failed.
+        test("after a search that failed, the next one asks again") {
+            var requests = 0
+            val engines = FakeEngines {
+                if (requests++ ==
+                    0
+                ) {
+                    error("unforeseen")
+                } else {
+                    reportOf(StalledEngine(lost.id, null))
+                }
+            }
+            val registry = UpstreamRegistry().also { it.onListing(listOf(first, lost), Moment(0)) }
+            val down = mutableListOf<InstanceId>()
+            supervisorScope {
+                val scope = this + CoroutineExceptionHandler { _, _ -> }
+                val ticks = TickIntervals { Moment(0) }
+                val search =
+                    StallSearch(engines, registry, UpstreamTraffic(), { Moment(0) }, ticks, scope) { down += it }
+                repeat(2) {
+                    search.run(first) {}
+                    repeat(YIELDS) { yield() }
+                }
+            }
+            down shouldContainExactly listOf(lost.id)
+        }
+
         test("a report without stalled engines reports none as down") {
             val down = mutableListOf<InstanceId>()
             search(reportOf(), down)
