End a request whose handling fails, and go on with the others

Callers would get no answer, past their deadline, if handling one request failed for an unforeseen reason: the requests after it in the table missed that tick and each one after it, as the same request failed again.

Cause: one loop over all requests in flight without a bound on what one of them may do to the others.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -260,6 +260,14 @@
         finish(refusals.deadline(last?.target?.upstream?.id))
     }
 
+    /** Ends the request, whose state can't be relied on: handling it failed for a reason that was not foreseen. */
+    fun onFault() {
+        if (isFinished) return
+        attempts.forEach { it.abort() }
+        attempts.clear()
+        finish(refusals.fault())
+    }
+
     private fun onDisconnected() {
         val last = attempts.lastOrNull()
         abortAll()
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/InFlightTable.kt
@@ -3,6 +3,7 @@
 import io.mimosatrail.core.id.InstanceId
 import io.mimosatrail.core.stall.StreamActivity
 import io.mimosatrail.core.time.Moment
+import io.mimosatrail.gateway.log.logFailure
 
 /** Requests that are being forwarded. Confined to the event loop. */
 internal class InFlightTable {
@@ -27,6 +28,15 @@
     /** Activity of the open streams. */
     fun streamActivities(now: Moment): List<StreamActivity> = requests.flatMap { it.streamActivities(now) }
 
-    /** Lets each request check its deadlines. */
-    fun tick(now: Moment) = requests.toList().forEach { it.onTick(now) }
+    /** Lets each request check its deadlines. One that fails for an unforeseen reason ends, and the others go on. */
+    fun tick(now: Moment) {
+        for (request in requests.toList()) {
+            try {
+                request.onTick(now)
+            } catch (e: RuntimeException) {
+                logFailure("request", e)
+                request.onFault()
+            }
+        }
+    }
 }
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRefusals.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRefusals.kt
@@ -49,6 +49,10 @@
         return refusal(Outcome.UNKNOWN, RefusalReason.DEADLINE, Step.ANSWER, upstream, detail)
     }
 
+    /** Handling the request failed inside this process. */
+    fun fault(): Refusal =
+        refusal(Outcome.UNKNOWN, RefusalReason.INVARIANT, Step.ROUTE, null, "the request failed at this entry")
+
     private fun outcome() = if (history.hasNotRun) Outcome.NOT_RUN else Outcome.UNKNOWN
 
     private fun refusal(
--- a/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
+++ b/gateway/src/test/kotlin/io/mimosatrail/gateway/forward/ForwardFixture.kt
@@ -147,15 +147,18 @@
         loop.scheduleAtFixedRate({ inFlight.tick(systemClock()) }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** Forwards a request for a stream, whose response is [response]. */
-    fun stream(response: RecordedResponse = RecordedResponse()): RecordedResponse {
+    /** Forwards a request for a stream, whose response is [response]; [targets] may replace its choice of targets. */
+    fun stream(
+        response: RecordedResponse = RecordedResponse(),
+        targets: (TargetChooser) -> TargetChooser = { it },
+    ): RecordedResponse {
         onLoop {
             val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/stream/x")
             val caller = Caller(request, systemClock(), response)
             callers[response] = caller
             val fields = PlainHeaders.readRequest(request.headers())
             val call = RoutedCall(caller, fields, streamRoute, null, service, 1)
-            ForwardedRequest(call, PathTargetChooser(call, profile, context), context).start()
+            ForwardedRequest(call, targets(PathTargetChooser(call, profile, context)), context).start()
         }
         return response
     }
