--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -25,8 +25,8 @@
     fun onSending(attempt: Attempt, connection: UpstreamConnection)
 
     /**
-     * The upstream has been silent for longer than expected or is reported to be down. The attempt stays open, since the
-     * upstream may go on.
+     * The upstream has been silent for longer than expected or is reported to be down. The attempt stays open, since
+     * the upstream may go on.
      */
     fun onSilent(attempt: Attempt, detail: String)
 
@@ -69,6 +69,9 @@
     /** True once bytes of the request may have been sent. */
     val isSent: Boolean get() = exchange.isSent
 
+    /** True while the request has been sent over the path of [target] and takes no other one. */
+    private val isOnPath: Boolean get() = isSent && !isRedirecting
+
     /** Opens or reuses a connection and sends the request. */
     fun begin() {
         context.traffic.onStart(target.upstream.id)
@@ -102,7 +105,7 @@
 
     /** Finds out why the attempt is silent if it has been for too long. */
     fun onTick(now: Moment) {
-        if (isRedirecting || !isSent || investigateAt?.let { now < it } ?: false) return
+        if (!isOnPath || investigateAt?.let { now < it } ?: false) return
         val downEngine = if (isIdle(now)) target.upstreamIds.firstOrNull { isPresumedDown(it, now) } else null
         when {
             downEngine != null && target.path.isNotEmpty() -> {
@@ -114,11 +117,11 @@
     }
 
     /**
-     * Redirects the stream if its path contains [engine] and it has stopped: a stream that goes on shows that the engine
-     * is up. If [engine] is the first of the path, or there is no other path, the request has to be sent again.
+     * Redirects the stream if its path contains [engine] and it has stopped: a stream that goes on shows that the
+     * engine is up. If [engine] is the first of the path, or there is no other path, the request has to be sent again.
      */
     fun onEngineDown(engine: InstanceId, now: Moment) {
-        if (isRedirecting || !isSent || engine !in target.upstreamIds || !isIdle(now)) return
+        if (!isOnPath || engine !in target.upstreamIds || !isIdle(now)) return
         if (engine == target.upstream.id) return listener.onSilent(this, "engine $engine is down")
         val request = call.fields.request
         val next = if (request == null) null else targets.redirect(target)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -46,7 +46,7 @@
     private val unreachable = HashSet<InstanceId>()
     private val usedConnections = HashSet<UpstreamConnection>()
 
-    /** How a begun stream ends if the retry budget, which is used up, leaves no retry in time; null if it is not waiting. */
+    /** How a begun stream ends if no retry is left in time by the budget, which is used up; null if it doesn't wait. */
     private var pendingFailure: PendingFailure? = null
 
     /** Target of the next attempt if it was chosen, and its retry acquired, before the current attempt ended. */
