--- a/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/retry/RetryBudgets.kt
@@ -7,8 +7,9 @@
 /**
  * Retry budgets of this entry, one for each service. In any [window], all entries together may retry at most [ratio] of
  * a service's requests plus [slack]. Every entry gets an equal share of the slack, according to the number of [entries]
- * that it sees. Normally only half of the budget is handed out, so that the bound also holds while entries restart, join
- * or can't see each other. Retries of [RetryPriority.LAST_RESORT] may use a half more of the slack. Not thread-safe.
+ * that it sees. Normally only half of the budget is handed out, so that the bound also holds while entries restart,
+ * join or can't see each other. Retries of [RetryPriority.LAST_RESORT] may use half as much again of the slack. Not
+ * thread-safe.
  */
 class RetryBudgets(
     private val ratio: Double,
--- a/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
+++ b/core/src/main/kotlin/io/mimosatrail/core/send/SendHistory.kt
@@ -11,8 +11,8 @@
  * The sends of one request of [route] so far. Decides whether the request may be sent again and whether the caller may
  * be told that it has not run.
  *
- * A request that is not repeatable is sent again only if all earlier sends have certainly not run, so at most one of its
- * sends is open at a time.
+ * A request that is not repeatable is sent again only if all earlier sends have certainly not run, so at most one of
+ * its sends is open at a time.
  */
 class SendHistory(private val route: HostRoute) {
     /** Upstreams of ended sends that may have run the request. */
--- a/core/src/test/kotlin/io/mimosatrail/core/send/SendScheduleTest.kt
+++ b/core/src/test/kotlin/io/mimosatrail/core/send/SendScheduleTest.kt
@@ -84,8 +84,14 @@
     /** Runs the simulation and returns the guarantees that were broken. */
     fun run(): Set<Guarantee> {
         var isAnswered = false
-        while (!isAnswered && sends < MAX_SENDS && (history.maySendAgain() || open.isNotEmpty())) {
-            if (history.maySendAgain()) isAnswered = send(behaviors.random(random)) else endOldest()
+        while (!isAnswered && sends < MAX_SENDS) {
+            if (history.maySendAgain()) {
+                isAnswered = send(behaviors.random(random))
+            } else if (open.isNotEmpty()) {
+                endOldest()
+            } else {
+                break
+            }
         }
         while (open.isNotEmpty()) endOldest()
         return Guarantee.entries.filterTo(HashSet(), ::isBroken)
