Don't tell a caller "not run" after a send that may have run

A repeatable request whose first upstream broke off, and whose other upstreams could not be reached, was answered 503: "not run", which was not certain.

Cause: the answer after failed connections named its outcome itself instead of asking the history of the sends.

Test: UnreachableUpstreamTest; the case with a send before got 503 instead of 502 (the run before this change ended without the expected 502).

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRefusals.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/RequestRefusals.kt
@@ -32,8 +32,8 @@
         retryAfter,
     )
 
-    /** The request has not run and could not be sent, or every upstream refused it. */
-    fun busy(detail: String) = refusal(Outcome.NOT_RUN, RefusalReason.BUSY, Step.SEND, null, detail, RETRY_AFTER_BUSY)
+    /** The request could not be sent again, or every upstream refused it. */
+    fun busy(detail: String) = refusal(outcome(), RefusalReason.BUSY, Step.SEND, null, detail, RETRY_AFTER_BUSY)
 
     /** The last send, to [upstream], ended as [end] and the request is not sent again. */
     fun failed(upstream: InstanceId, end: SendEnd, detail: String): Refusal = when {
