Check once more before a send whether the request may still be sent

A request could wait for its deadline without an answer: if its other send became the last refusal that is allowed while the replacement was connecting, the check of SendHistory threw inside the callback of the connection and was lost.

Cause: what the history allowed was asked when the target was chosen, not when the connection was ready.

Change: the connection goes back to the pool and the attempt counts as not connected.

No test of its own: found by reading. The tests of the forwarding code pass.

--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/Attempt.kt
@@ -21,6 +21,9 @@
     /** True if [connection] can carry the attempt. */
     fun isSuitable(connection: UpstreamConnection): Boolean
 
+    /** False if the request must not be sent after all, since other sends have ended meanwhile. */
+    fun maySend(): Boolean
+
     /** The request is about to be sent over [connection]. */
     fun onSending(attempt: Attempt, connection: UpstreamConnection)
 
@@ -192,10 +195,16 @@
     private fun onLease(lease: Lease) {
         when (lease) {
             is Lease.Failed -> if (!isEnded) onNotConnected(lease)
-            is Lease.Ready -> if (isEnded) context.pool.release(lease.connection) else send(lease)
+            is Lease.Ready -> onConnected(lease)
         }
     }
 
+    private fun onConnected(lease: Lease.Ready) {
+        if (!isEnded && listener.maySend()) return send(lease)
+        context.pool.release(lease.connection)
+        if (!isEnded) onNotConnected(Lease.Failed("the request must not be sent again", isUnreachable = false))
+    }
+
     private fun onNotConnected(lease: Lease.Failed) {
         release()
         listener.onNotConnected(this, lease)
--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/ForwardedRequest.kt
@@ -148,6 +148,8 @@
         if (failedConnects <= MAX_FAILED_CONNECTS) sendNext() else finish(refusals.busy(lease.detail))
     }
 
+    override fun maySend(): Boolean = history.maySendAgain()
+
     override fun onSending(attempt: Attempt, connection: UpstreamConnection) {
         history.onSend(attempt.target.upstream.id)
         usedConnections += connection
