--- a/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
+++ b/gateway/src/main/kotlin/io/mimosatrail/gateway/forward/UpstreamExchange.kt
@@ -230,7 +230,7 @@
         if (!response.isWritable) setReading(false)
     }
 
-    /** False if [event] can't be told from one that the caller has. */
+    /** False if [event] may repeat one that the caller has, as it has no id. */
     private fun isPlaced(event: StreamEvent): Boolean =
         !isContinuation || event.id != null || !event.hasData || response.lastEventId != continuesAfter
 
