Show that a reset answer without a length is delivered as complete

Cause: UpstreamConnection learns of a failed transport from exceptionCaught only. A reset that fails the write of the request's remaining body closes the channel without it, so the answer, which ends with its connection, looks whole.

Case: review/2 sends reports of 4,000,000 bytes through three entries. The runners begin to answer before they have read all of it, without a length; one of them resets 5 in 100 of its answers midway for 5 s.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Plays the case. TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, 0 if not, 2 if it couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -d review/target/classes ] || { echo "run review/build.sh first"; exit 2; }
+exec timeout -k 2 110 java -Xmx256m -cp review/target/classes review.ResetAnswer review/2
