Show that long requests within the limits stop an entry's event loop

Cause: each body is collected in full and nothing limits the sum over all connections. Beyond 96 MB of direct memory each allocation on the event loop waits in java.nio.Bits.reserveMemory for up to half a second.

--- a/review/standins/review/Requester.java
+++ b/review/standins/review/Requester.java
@@ -20,12 +20,21 @@
         }
     }
 
+    private static final int PART_BYTES = 40_000;
+
     private final int port;
+    private final int partMillis;
     private Socket socket;
     private InputStream in;
 
     Requester(int port) {
+        this(port, 0);
+    }
+
+    /** A requester whose link takes {@code partMillis} for 40 kB of a body. */
+    Requester(int port, int partMillis) {
         this.port = port;
+        this.partMillis = partMillis;
     }
 
     /** Sends a request and returns its answer. Throws an IOException if there is no complete one. */
@@ -39,7 +48,7 @@
                 + "\r\nAuthorization: Bearer " + Manifests.KEY + "\r\n" + fields + "Content-Length: " + body.length
                 + "\r\n\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
-            socket.getOutputStream().write(body);
+            write(body);
             Http.Head answer = Http.readHead(in);
             if (answer == null) throw new IOException("the channel ended without an answer");
             byte[] bytes = Http.readBody(in, answer);
@@ -51,6 +60,22 @@
         }
     }
 
+    /** Sends a long body at the pace of the requester's link, any other at once. */
+    private void write(byte[] body) throws IOException {
+        for (int from = 0; from < body.length; from += PART_BYTES) {
+            socket.getOutputStream().write(body, from, Math.min(PART_BYTES, body.length - from));
+            if (partMillis > 0 && body.length > PART_BYTES) pause(partMillis);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void connect() throws IOException {
         socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setTcpNoDelay(true);
