Show that channels opened during a start refuse proper long requests for good

Cause: FrontServer.prepare() fixes the limits of a connection when it is accepted. The port is open before the first manifest is read, so connections that wait then keep the default limit of 1 MiB for as long as they are open.

Case: review/4 kills an entry and starts it again while crews send reports of 2,000,000 bytes, of 4,194,304 that the manifest allows, over kept connections.

--- a/review/standins/review/Entry.java
+++ b/review/standins/review/Entry.java
@@ -28,7 +28,8 @@
 
     final int front;
     final int ready;
-    private final Process process;
+    private final ProcessBuilder builder;
+    private Process process;
 
     Entry(String name, String zone, String store, Path folder) throws IOException {
         int[] ports = freePorts(3);
@@ -38,13 +39,19 @@
         Files.writeString(settings, settings(name, zone, store, ports));
         List<String> command = new ArrayList<>(Arrays.asList(command().split(" ")));
         command.replaceAll(word -> word.replace("{{Listen.Front}}", "127.0.0.1:" + front));
-        ProcessBuilder builder = new ProcessBuilder(command).directory(new File("."));
+        builder = new ProcessBuilder(command).directory(new File("."));
         Map<String, String> env = builder.environment();
         env.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         env.put("MIMOSATRAIL_NODE_FILE", settings.toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.redirectErrorStream(true).redirectOutput(
+            ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+        startAgain();
+    }
+
+    /** Starts the process, which is not running, with the same settings. */
+    void startAgain() throws IOException {
         process = builder.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     long pid() {
@@ -87,7 +94,7 @@
 
     @Override
     public void close() {
-        process.destroyForcibly();
+        if (process != null) process.destroyForcibly();
     }
 
     private static String command() throws IOException {
