--- a/review/standins-2/Entry.java
+++ b/review/standins-2/Entry.java
@@ -62,7 +62,7 @@
 
     void signal(String name) throws IOException {
         Stands.log("SIG" + name + " to entry " + this.name);
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start();
+        new ProcessBuilder("bash", "-c", "kill -" + name + " " + process.pid()).start();
     }
 
     void stop() {
@@ -73,10 +73,6 @@
         return process.isAlive();
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     boolean isReady() {
         Http.Answer answer = Http.send(ready, "GET", "/readiness", Map.of(), new byte[0], 1_000);
         return answer.status() == 200;
