--- a/review/standins-2/CrashBurst.java
+++ b/review/standins-2/CrashBurst.java
@@ -9,6 +9,7 @@
  * once. All runners go down together each time, and are back after three seconds.
  */
 final class CrashBurst {
+    private static final int RUNNERS = 3;
     private static final int COPIES = 4;
     private static final List<Long> crashes = new ArrayList<>();
 
@@ -19,14 +20,15 @@
         Scene scene = new Scene(3);
         Manifest.put(scene.store, List.of(
             Manifest.route("reports", Manifest.REPORTS, "non_idempotent", "app", 2_500, 193, 1),
-            Manifest.route("lookups", Manifest.LOOKUPS, "idempotent", "app", 2_500, 193, 1)),
+            Manifest.route("lookups", Manifest.LOOKUPS, "idempotent", "app", 2_500, 193, 2)),
             List.of(Manifest.application("app")));
         List<Runner> runners = new ArrayList<>();
-        for (int i = 1; i <= COPIES; i++) {
+        for (int i = 1; i <= RUNNERS; i++) {
             runners.add(new Runner(scene.store, "app" + i, "app", "z1", 6, (runner, request, out) -> {
                 boolean isHarmful = request.path().startsWith(Manifest.LOOKUPS + "harmful");
+                if (isHarmful) onReached(request);
                 Stands.sleep(isHarmful ? 10 : 40);
-                if (isHarmful) onHarmful(scene, runner, request);
+                if (isHarmful && scene.isTroubled) onCrash(runner, request);
                 if (!runner.isUp) return false;
                 runner.answerWell(request, out);
                 return true;
@@ -48,9 +50,13 @@
         judge(scene);
     }
 
-    private static synchronized void onHarmful(Scene scene, Runner runner, Runner.Request request) {
+    private static synchronized void onReached(Runner.Request request) {
         runs.putIfAbsent(request.attempt(), Stands.now());
-        if (!scene.isTroubled) return;
+    }
+
+    /** The runner goes down once, though two attempts may be on it. */
+    private static synchronized void onCrash(Runner runner, Runner.Request request) {
+        if (!runner.isUp) return;
         crashes.add(Stands.now());
         runner.crash(3_000, "attempt " + request.attempt());
     }
