Show case 14 with model runners and streams too

Cause: an engine counts as not lost if GET /report gets any answer, so the 421 of a process that was restarted at the address clears the request under which the former one went dark. Until now that was told by reading only.

--- a/review/standins-3/DarkPlain.java
+++ b/review/standins-3/DarkPlain.java
@@ -70,14 +70,8 @@
         record.line("runner %s goes dark", ended);
         Http.Server old = server;
         old.stopListening();
-        ServerSocket full = listenInSilence();
-        List<SocketChannel> waiting = new ArrayList<>();
-        for (int i = 0; i < FULL_QUEUE; i++) {
-            SocketChannel channel = SocketChannel.open();
-            channel.configureBlocking(false);
-            channel.connect(full.getLocalSocketAddress());
-            waiting.add(channel);
-        }
+        ServerSocket full = listenInSilence(port);
+        List<SocketChannel> waiting = fillQueue(full);
         Http.start("restart", () -> {
             Thread.sleep(millis);
             full.close();
@@ -101,7 +95,8 @@
         server.close();
     }
 
-    private ServerSocket listenInSilence() throws IOException {
+    /** Listens at {@code port} and accepts nothing. */
+    static ServerSocket listenInSilence(int port) throws IOException {
         return retry(() -> {
             ServerSocket socket = new ServerSocket();
             socket.setReuseAddress(true);
@@ -110,16 +105,28 @@
         });
     }
 
+    /** Fills the queue of {@code listener}, so that further channels to it hang. */
+    static List<SocketChannel> fillQueue(ServerSocket listener) throws IOException {
+        List<SocketChannel> waiting = new ArrayList<>();
+        for (int i = 0; i < FULL_QUEUE; i++) {
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.connect(listener.getLocalSocketAddress());
+            waiting.add(channel);
+        }
+        return waiting;
+    }
+
     private Http.Server restart() throws IOException {
         return retry(() -> new Http.Server(port, this::handle));
     }
 
-    private interface Listener<T> {
+    interface Listener<T> {
         T open() throws IOException;
     }
 
     /** Tries again for a second, since the system frees the address of a closed listener a moment later. */
-    private static <T> T retry(Listener<T> listener) throws IOException {
+    static <T> T retry(Listener<T> listener) throws IOException {
         for (int i = 1; ; i++) {
             try {
                 return listener.open();
--- a/review/standins-3/Engine.java
+++ b/review/standins-3/Engine.java
@@ -1,6 +1,9 @@
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,6 +26,9 @@
         int prefillMillis = 40;
         int restartMillis = 2_000;
 
+        /** True if a runner whose request crashes it loses power; otherwise its process ends. */
+        boolean goesDark;
+
         /** Part of a prompt that makes each runner crash that begins to write an answer on it; null if there is none. */
         volatile String deadlyPart;
         final AtomicInteger crashes = new AtomicInteger();
@@ -50,6 +56,7 @@
     private volatile Http.Server server;
     private volatile String id;
     private volatile long born;
+    private volatile long lastBeat;
     private volatile int first;
     private volatile int end;
     private volatile boolean isBusy;
@@ -115,6 +122,42 @@
         });
     }
 
+    /** Loses power for {@code millis}: its channels hang, and new ones too. Then a new one is at the same address. */
+    private void goDark(long millis) throws IOException {
+        synchronized (this) {
+            if (!isUp) return;
+            isUp = false;
+        }
+        String ended = id;
+        long expiresAt = lastBeat + 3 * HEARTBEAT_MILLIS;
+        fleet.crashes.incrementAndGet();
+        fleet.record.line("runner %s goes dark with %d requests at work", ended, active.get());
+        fleet.onCrash.accept(this);
+        Http.Server old = server;
+        old.stopListening();
+        ServerSocket silent = DarkPlain.listenInSilence(port);
+        List<SocketChannel> waiting = DarkPlain.fillQueue(silent);
+        Http.start("restart", () -> {
+            Thread.sleep(millis);
+            silent.close();
+            for (SocketChannel channel : waiting) channel.close();
+            old.close();
+            if (isClosed) return;
+            server = DarkPlain.retry(() -> new Http.Server(port, this::handle));
+            boot();
+        });
+        Http.start("expiry", () -> {
+            // The entry of a silent runner is removed after three ping intervals.
+            Thread.sleep(Math.max(0, expiresAt - System.currentTimeMillis()));
+            fleet.store.delete("servers/" + ended);
+        });
+    }
+
+    /** Waits without a word until the connection is reset if {@code own} has no power any more. */
+    private void hangIfDark(String own) throws InterruptedException {
+        if (fleet.goesDark && !(isUp && own.equals(id))) Thread.sleep(200_000);
+    }
+
     @Override
     public void close() {
         isClosed = true;
@@ -139,6 +182,7 @@
     }
 
     private void register() {
+        lastBeat = System.currentTimeMillis();
         fleet.store.put("servers/" + id, "{\"Service\":\"" + fleet.service + "\",\"Address\":\"" + address()
             + "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":" + slots
             + ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"Stage\":\"colocated\",\"Models\":[{\"Name\":\"m0\","
@@ -150,6 +194,7 @@
         String expected = request.header("X-Mimosatrail-Expected-Instance");
         String attempt = request.header(ATTEMPT);
         String own = id;
+        hangIfDark(own);
         String echo = attempt == null ? "" : ATTEMPT + ": " + attempt + "\r\n";
         if (expected != null && !expected.equals(own)) {
             connection.answer(421, echo + "X-Mimosatrail-Instance-Id: " + own + "\r\n", "");
@@ -223,15 +268,18 @@
         fleet.record.line("runner %s gets request %s%s", own, attempt, isDeadly ? " with the deadly part" : "");
         try {
             Thread.sleep(fleet.prefillMillis);
-            if (isDeadly) {
+            if (isDeadly && !fleet.goesDark) {
                 crash(fleet.restartMillis);
                 return;
             }
+            if (isDeadly) goDark(fleet.restartMillis);
+            hangIfDark(own);
             connection.write("HTTP/1.1 200 OK\r\n" + echo + "X-Mimosatrail-Runner-Seal: " + own + "." + attempt
                 + "\r\nX-Mimosatrail-Runner-Load: " + active.get() + ",0," + slots
                 + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
             String last = request.header("Last-Event-Id");
             for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= fleet.events; event++) {
+                hangIfDark(own);
                 chunk(connection, "id: " + event + "\ndata: " + event + " of " + attempt + "\n\n");
                 Thread.sleep(fleet.eventMillis);
             }
